--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,393 @@
+"""Each exception to the plain draw: acting on its condition, and not acting on the ordinary path."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from fawngw import Balancer
+from fawngw.decide import BUDGET_PLUS, BUDGET_TIMES
+from fawngw.interface import (
+    Arrival,
+    AttemptEnded,
+    Cancel,
+    CloseIdle,
+    Effect,
+    ListKind,
+    Log,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    RequestClass,
+    Send,
+    ServerEntry,
+    ServerList,
+    Settings,
+    Subscribe,
+    Tenant,
+)
+from tests.checker import Surrounding
+
+SAFE = RequestClass("r", 1000, 3000)
+UNSAFE = RequestClass("w", 1000, 3000, worth=3.0, effect=Effect.UNSAFE)
+
+
+def make(*classes: RequestClass, servers: int = 6, **more: object) -> Surrounding:
+    values: dict[str, object] = {"answer_slack_ms": 20.0, "tick_ms": 5.0, "max_attempts": 4, **more}
+    play = Surrounding(Settings(classes=classes or (SAFE,), **values), seed=9)  # type: ignore[arg-type]
+    play.list_of([ServerEntry(bytes([i]), zone=i % 3) for i in range(servers)])
+    return play
+
+
+def serve(
+    play: Surrounding, count: int, latency: float = 20.0, bad: bytes = b"", how: Outcome = Outcome.ERROR
+) -> None:
+    """Requests one after another; those that land on the bad server end as told."""
+    for _ in range(count):
+        request = play.arrive()
+        play.step(latency)
+        for number in play.live(request):
+            hit = play.owed[request].attempts[number].entry.server == bad
+            play.end(request, number, how if hit else Outcome.OK)
+
+
+def end_all(play: Surrounding, requests: Iterable[int], how: Outcome = Outcome.OK) -> None:
+    """End what is out at this moment."""
+    for request in requests:
+        for number in list(play.live(request)):
+            play.end(request, number, how)
+
+
+def texts(play: Surrounding) -> list[str]:
+    return [a.text for a in play.log if isinstance(a, Log)]
+
+
+def sent_to(play: Surrounding, since: int) -> list[bytes]:
+    return [a.server for a in play.log[since:] if isinstance(a, Send)]
+
+
+def test_ordinary_path_draws_by_the_vector_alone() -> None:
+    """One call out at a time on a healthy fleet: no mask acts, and shares follow the vector."""
+    play = make()
+    mark = len(play.log)
+    serve(play, 3000)
+    sends = sent_to(play, mark)
+    assert len(sends) == 3000 and not any(isinstance(a, Refuse | Cancel | CloseIdle) for a in play.log)
+    p = play.balancer.automaton.p
+    for server, share in zip(play.balancer.automaton.servers, p, strict=True):
+        assert abs(sends.count(server) / 3000 - share) < 0.08
+    assert texts(play) == []
+
+
+def test_fast_errors_eject_one_server_and_a_probe_brings_it_back() -> None:
+    play = make(may_probe=True, cold_ms=1000.0)
+    bad = bytes([2])
+    serve(play, 60, bad=bad)
+    assert any("0x" not in t and t.startswith("server 02 ejected: error") for t in texts(play))
+    assert CloseIdle(bad) in play.log
+    for _ in range(60):  # it comes back by a probe and one good trial
+        play.step(20)
+        while play.probes:
+            play.feed(ProbeEnded(play.probes.pop(), Outcome.OK, 1.0))
+        serve(play, 2)
+    assert Probe(bad) in play.log and "server 02 returns after a good trial" in texts(play)
+
+
+def test_a_trial_is_never_a_request_that_may_run_only_once() -> None:
+    play = make(SAFE, UNSAFE, may_probe=True, cold_ms=1000.0)
+    bad = bytes([2])
+    serve(play, 60, bad=bad)
+    play.step(2000)
+    play.probes.clear()
+    play.feed(ProbeEnded(bad, Outcome.OK, 1.0))
+    mark = len(play.log)
+    for _ in range(40):
+        play.end(play.arrive(1), 0, Outcome.OK)
+    assert bad not in sent_to(play, mark)
+
+
+def test_errors_of_all_servers_eject_nobody_for_long() -> None:
+    play = make(servers=9)
+    for _ in range(100):
+        request = play.arrive()
+        play.step(10)
+        for number in range(4):
+            if (
+                number < len(play.owed[request].attempts)
+                and play.owed[request].attempts[number].ended is None
+            ):
+                play.end(request, number, Outcome.ERROR)
+    ejected = {t.split()[1] for t in texts(play) if "ejected" in t}
+    assert len(ejected) <= 3  # a third of nine
+
+
+def test_a_silent_server_is_skipped_and_a_busy_one_is_not() -> None:
+    play = make()
+    serve(play, 60)
+    stuck = play.arrive()
+    silent = play.owed[stuck].attempts[0].entry.server
+    for _ in range(10):
+        play.now += 20.0
+        done = play.arrive()
+        if play.owed[done].attempts[0].entry.server != silent:
+            play.end(done, 0, Outcome.OK)
+    mark = len(play.log)
+    for _ in range(40):
+        play.end(play.arrive(), 0, Outcome.OK)
+    assert silent not in sent_to(play, mark)
+
+
+def test_a_late_attempt_on_a_server_that_answers_others_is_left_alone() -> None:
+    """Long work on a healthy server was once given up and sent again."""
+    for answers in (True, False):
+        play = make(servers=2)
+        serve(play, 60, latency=60.0)
+        late = play.arrive()
+        server = play.owed[late].attempts[0].entry.server
+        for _ in range(12):
+            other = play.arrive()
+            play.step(20)
+            for number, tried in enumerate(play.owed[other].attempts):
+                if tried.ended is None and (answers or tried.entry.server != server):
+                    play.end(other, number, Outcome.OK)
+        assert (len(play.owed[late].attempts) == 1) is answers
+
+
+def test_calls_out_stay_near_the_vector() -> None:
+    play = make(servers=5)
+    for _ in range(25):
+        play.arrive()
+    held = [0] * 5
+    for owed in play.owed.values():
+        for tried in owed.attempts:
+            held[tried.entry.server[0]] += 1
+    assert sum(held) == 25
+    assert max(held) <= BUDGET_PLUS + BUDGET_TIMES * 25 / 5 + 1
+
+
+def test_a_full_server_gets_a_ceiling_and_is_not_ejected() -> None:
+    """Crowds of failed connects once bounced off live servers, which were then ejected."""
+    play = make(servers=3)
+    serve(play, 40)
+    open_calls = [play.arrive() for _ in range(12)]
+    full = play.owed[open_calls[0]].attempts[0].entry.server
+    held = sum(1 for r in open_calls if play.owed[r].attempts[0].entry.server == full)
+    there = [r for r in open_calls if play.owed[r].attempts[0].entry.server == full]
+    play.end(there[0], 0, Outcome.OK)  # it answers, so it is not dead
+    play.end(there[-1], 0, Outcome.CONNECT_FAILED)
+    for _ in range(10):
+        play.arrive()
+    now_held = sum(
+        1 for o in play.owed.values() for t in o.attempts if t.ended is None and t.entry.server == full
+    )
+    assert now_held <= held - 1 and not any("ejected" in t for t in texts(play))
+
+
+def test_a_starting_node_opens_no_flood_and_the_worthy_go_first() -> None:
+    play = make(SAFE, UNSAFE, servers=4)
+    for _ in range(100):
+        play.arrive(0)
+    for _ in range(10):
+        play.arrive(1)
+    out = [r for r, o in play.owed.items() if o.attempts]
+    assert len(out) <= 6 * 4 + 1
+    mark = len(play.log)
+    for request in out[:10]:
+        play.end(request, 0, Outcome.OK)
+    placed = [a.request for a in play.log[mark:] if isinstance(a, Send)]
+    assert placed and all(play.owed[r].kind is UNSAFE for r in placed[:10])
+    for _ in range(60):
+        play.step(20)
+    assert any(isinstance(a, Refuse) for a in play.log)
+
+
+def test_rising_latency_sets_the_limit_and_calm_lifts_it() -> None:
+    play = make(servers=4)
+    serve(play, 100, latency=20.0)
+    assert texts(play) == []
+    serve(play, 60, latency=200.0)
+    assert any(t.startswith("admission limit on") for t in texts(play))
+    serve(play, 200, latency=20.0)
+    assert texts(play)[-1].startswith("admission limit off")
+
+
+def test_answers_that_take_no_time_are_no_division_by_zero() -> None:
+    play = make()
+    for _ in range(100):
+        play.end(play.arrive(), 0, Outcome.OK)
+    assert all(o.done_at is not None for o in play.owed.values())
+
+
+def test_traffic_beyond_a_tenants_share_waits_behind() -> None:
+    tenants = (Tenant("a", 0.5, 10.0), Tenant("b", 0.5, 10.0))
+    settings = Settings(classes=(SAFE,), tenants=tenants, over_share_worth=0.1)
+    node = Balancer(settings, 5)
+    node.handle(ServerList(ListKind.FULL, (ServerEntry(b"x"),)), 0.0)
+    for i in range(40):
+        node.handle(Arrival(i, 0, 3000.0, tenant=0), 1.0)
+    node.handle(Arrival(99, 0, 3000.0, tenant=1), 2.0)
+    placed: list[int] = []
+    for i in range(6):
+        actions = node.handle(AttemptEnded(i, 0, b"x", Outcome.OK, 1.0, True), 2.0)
+        placed += [a.request for a in actions if isinstance(a, Send)]
+    # The ten within the share of the first tenant, then the other tenant's, then what is beyond the share.
+    assert placed == [6, 7, 8, 9, 99, 10]
+
+
+def test_own_zone_first_where_crossing_has_a_price() -> None:
+    for price in (0.0, 0.1):
+        play = make(servers=6, cross_zone_price=price, zones=3, zone=1)
+        mark = len(play.log)
+        serve(play, 60)
+        zones = {server[0] % 3 for server in sent_to(play, mark)}
+        assert (zones == {1}) is (price > 0)
+
+
+def test_the_list_is_asked_for_with_growing_pauses() -> None:
+    play = Surrounding(Settings(classes=(SAFE,), ask_for_list=True, must_ask_ms=10_000.0), seed=4)
+    play.list_of([ServerEntry(b"a")], ListKind.CACHED)
+    times: list[float] = []
+    for _ in range(4000):
+        before = play.subscriptions
+        play.step(10)
+        if play.subscriptions > before:
+            times.append(play.now)
+            play.feed(ServerList(ListKind.FAILED))
+    gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+    assert times[0] - 1000.0 <= 3000.0 and max(gaps) <= 5000.0 and gaps[3] > gaps[0]
+    assert texts(play) == ["server list lost: a call failed or the subscription broke"]
+    play.feed(ServerList(ListKind.CHANGES))
+    assert texts(play)[-1].startswith("server list found again after")
+    asked = play.subscriptions
+    for _ in range(2000):
+        play.step(10)
+    assert play.subscriptions == asked and Subscribe() in play.log
+
+
+def test_the_quick_answers_of_the_first_moments_are_not_taken_for_calm() -> None:
+    """Calls sent together come back quick ones first; a third of a day was once shed for that."""
+    play = make(servers=30)
+    calls = [play.arrive() for _ in range(150)]
+    out = [r for r in calls if play.owed[r].attempts]
+    for request in out[:60]:  # the quick ones
+        play.step(1)
+        play.end(request, 0, Outcome.OK)
+    for _ in range(10):
+        play.step(20)
+    for request in list(play.owed):
+        for number in play.live(request):
+            play.end(request, number, Outcome.OK)
+    mark = len(play.log)
+    serve(play, 150, latency=150.0)
+    assert not any(isinstance(a, Refuse) for a in play.log[mark:])
+    assert not any(isinstance(a, Log) and "admission limit on" in a.text for a in play.log[mark:])
+
+
+def test_a_late_outcome_of_a_silent_server_rests_it_and_one_of_a_busy_server_does_not() -> None:
+    """At nodes with few calls a crowded server once kept its full share for tens of seconds."""
+    for how in (Outcome.OK, Outcome.TIMEOUT):
+        for answers in (False, True):
+            play = make(servers=5)
+            serve(play, 60)
+            late = play.arrive()
+            server = play.owed[late].attempts[0].entry.server
+            others = [play.arrive() for _ in range(12)]
+            play.now += 100.0
+            for request in others:  # the silent server answers none of them before the late one
+                for number in list(play.live(request)):
+                    if answers or play.owed[request].attempts[number].entry.server != server:
+                        play.end(request, number, Outcome.OK)
+            play.now += 300.0
+            play.end(late, 0, how)
+            end_all(play, others, how)
+            mark = len(play.log)
+            serve(play, 25)
+            assert (server in sent_to(play, mark)) is answers
+            play.step(1000)
+            mark = len(play.log)
+            serve(play, 60)
+            assert server in sent_to(play, mark)
+
+
+def test_a_fleet_slow_as_one_rests_few() -> None:
+    """Resting is for what lags behind its peers: patience grows with the fleet, and a third is the most."""
+    play = make(servers=9)
+    serve(play, 60)
+    calls = [play.arrive() for _ in range(9)]
+    assert len({play.owed[r].attempts[0].entry.server for r in calls}) >= 6
+    play.now += 600.0
+    end_all(play, calls)
+    mark = len(play.log)
+    for _ in range(60):  # at one moment, while they rest
+        play.end(play.arrive(), 0, Outcome.OK)
+    assert len(set(sent_to(play, mark))) >= 6
+
+
+def test_the_limit_grows_no_further_than_the_best_rate_needs() -> None:
+    """The limit once doubled past what the servers bore before the first slow answers came back."""
+    play = make(servers=4)
+    serve(play, 100, latency=20.0)
+    rate, calm = 1 / 20.0, 20.0
+    for _ in range(400):  # ever more arrivals, answered at the same rate all the while
+        play.arrive()
+        play.arrive()
+        live = [(r, n) for r in play.owed for n in play.live(r)]
+        play.step(20)
+        if live:
+            play.end(*live[-1], Outcome.OK)  # quick, while older ones hang
+    out = sum(1 for r in play.owed for _ in play.live(r))
+    assert out <= max(1.65 * rate * calm, 6.0 * 4)
+
+
+def test_the_best_rate_of_few_answers_is_not_taken_at_its_word() -> None:
+    """Seen at full size: the luckiest of many short counts, twice the true rate, held the limit up."""
+    play = make(balancers=100)
+    node = play.balancer
+    serve(play, 60, latency=400.0)  # two and a half answers a second
+    true_rate = 1 / 400.0
+    assert node._calm_known() and 0.0 < node._peak < true_rate
+
+
+def test_a_fraction_of_the_limit_lets_in_that_part_of_the_requests() -> None:
+    """Seen at full size: limits of one call a node, over four hundred nodes, were far too many."""
+    play = make()
+    node = play.balancer
+    sent = 0
+    for _ in range(400):
+        node._limit = 0.3
+        request = play.arrive()
+        if play.owed[request].attempts:
+            sent += 1
+            play.end(request, 0, Outcome.OK)
+        else:
+            play.step(100.0)  # the hold ends and it is refused
+    assert 80 <= sent <= 160
+
+
+def test_few_answers_call_strain_sooner_than_many() -> None:
+    """Seen at full size: by the time five answers told of twice the calm, the servers had choked."""
+    strains = []
+    for gap in (5.0, 2000.0):
+        play = make()
+        node = play.balancer
+        for latency in [20.0] * 60 + [32.0] * 60:
+            request = play.arrive()
+            play.step(latency)
+            play.end(request, 0, Outcome.OK)
+            play.step(gap)
+        strains.append(node._strain)
+    assert strains[0] < 1.0 < strains[1]
+
+
+def test_in_a_jam_the_limit_falls_within_a_few_aims() -> None:
+    """Seen at full size: with all calls overdue a tenth was cut every five seconds, too slow to drain."""
+    play = make(balancers=600)
+    node = play.balancer
+    serve(play, 12, latency=50.0)
+    before = node._limit
+    started = play.now
+    while play.now - started < 15_000.0:  # fifteen aims in which every call ends at the caller's deadline
+        requests = [play.arrive() for _ in range(3)]
+        play.step(1000.0)
+        end_all(play, requests, Outcome.TIMEOUT)
+    assert before >= 6.0 and node._limit < 0.7
