Test the node over loopback sockets; a head that comes in one piece is measured

Cause: the node had no tests. Stub servers, discovery and callers on port 0 now cover the three answers, each row of the outcome table, no unsafe second send, client gone, deadline, drain, restart, broken watch, SIGTERM, short descriptors, bad input, and the run command to an answer and exit 0.

Seen: a request with a 20 kB header in one piece was served (test: 200 instead of 400). At fault: Reader.feed counted head bytes only while the head was incomplete; on_header now measures too. Ruled out: the body limit, whose tests passed.

--- a/fawngw/__main__.py
+++ b/fawngw/__main__.py
@@ -17,7 +17,8 @@
     node = Node(config)
     # What exists now lives as long as the node: leave it out of every later collection.
     gc.freeze()
-    await node.run()
+    await node.start()
+    await node.wait()
 
 
 def main() -> int:
--- a/fawngw/node/config.py
+++ b/fawngw/node/config.py
@@ -47,7 +47,7 @@
     """The configuration of this process."""
     raw = _read_file(_variable(environment, "NODE_CONFIG"))
     settings_raw = _member(raw, "settings", dict)
-    values = dict(_flat(settings_raw, ""))
+    values = dict(flat(settings_raw))
     try:
         settings = read_settings(values)
     except (SettingsError, ImpossibleSettings) as error:
@@ -152,15 +152,15 @@
     return tuple(str(name) for name in value)
 
 
-def _flat(value: Any, path: str) -> Iterator[tuple[str, str]]:
+def flat(value: Any, path: str = "") -> Iterator[tuple[str, str]]:
     """Nested JSON as the path to value pairs of the simulator's first message."""
     if isinstance(value, dict):
         for name, member in value.items():
-            yield from _flat(member, f"{path}.{name}" if path else name)
+            yield from flat(member, f"{path}.{name}" if path else name)
     elif isinstance(value, list) and any(isinstance(item, dict) for item in value):
         yield f"{path}.count", str(len(value))
         for i, item in enumerate(value):
-            yield from _flat(item, f"{path}.{i}")
+            yield from flat(item, f"{path}.{i}")
     elif isinstance(value, list):
         yield path, ",".join(str(item).replace(",", "_") for item in value)
     elif isinstance(value, bool):
--- a/fawngw/node/http.py
+++ b/fawngw/node/http.py
@@ -62,7 +62,17 @@
     The limits are kept here because the parser itself would collect a header or a body without end.
     """
 
-    __slots__ = ("_body", "_failure", "_head_left", "_in_body", "_message", "_on_message", "_parser", "_size")
+    __slots__ = (
+        "_body",
+        "_failure",
+        "_head_left",
+        "_head_size",
+        "_in_body",
+        "_message",
+        "_on_message",
+        "_parser",
+        "_size",
+    )
 
     def __init__(self, on_message: Callable[[Message], None], *, requests: bool) -> None:
         self._on_message = on_message
@@ -70,6 +80,7 @@
         self._parser = httptools.HttpRequestParser(self) if requests else httptools.HttpResponseParser(self)
         self._failure: MessageError | None = None
         self._head_left = MAX_HEAD
+        self._head_size = 0
         self._in_body = False
         self._message: Message | None = None
         self._body: list[bytes] = []
@@ -108,14 +119,17 @@
         self._message = Message()
         self._body.clear()
         self._size = 0
+        self._head_size = 0
 
     def on_url(self, part: bytes) -> None:
         if self._message is not None:
             self._message.start += part
+            self._measure(len(part))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._message is None:
             return
+        self._measure(len(name) + len(value))
         name = name.lower()
         if name in self._message.headers:
             self._message.repeated.add(name)
@@ -155,6 +169,12 @@
         if not 100 <= message.status < 200:  # an interim answer is no answer
             self._on_message(message)
 
+    def _measure(self, size: int) -> None:
+        """A head that came whole in one piece is measured here, before it is taken."""
+        self._head_size += size
+        if self._head_size > MAX_HEAD:
+            self._fail(400, "the head is too large")
+
     def _fail(self, status: int, text: str) -> None:
         if self._failure is None:
             self._failure = MessageError(status, text)
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -119,8 +119,8 @@
             on_failed=lambda: self._post(ServerList(ListKind.FAILED)),
         )
 
-    async def run(self) -> None:
-        """Serve until SIGTERM, then until everything taken is answered."""
+    async def start(self) -> tuple[str, int]:
+        """Listen; returns the address that was bound."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.terminate)
         known = self._config.known
@@ -130,6 +130,14 @@
         self._discovery.start(known.version if known is not None else 0)
         host, port = await self._callers.listen(self._config.listen)
         log.info("node %s listens on %s:%d", self._config.name, host, port)
+        return host, port
+
+    def stop(self) -> None:
+        """End now, whatever is open."""
+        self._done.set()
+
+    async def wait(self) -> None:
+        """Serve until SIGTERM, then until everything taken is answered."""
         await self._done.wait()
         self._discovery.close()
         self._callers.close()
@@ -338,6 +346,6 @@
         now = self._loop.time()
         quiet = not self._callers.busy() and now - self._callers.last_heard >= SILENT_S
         if quiet or now - self._terminated_at > LAST_S + SILENT_S:
-            self._done.set()
+            self.stop()
         else:
             self._loop.call_later(DRAIN_CHECK_S, self._end_when_quiet)
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,111 @@
+"""What a node is told, and what it says when that cannot be used."""
+
+from __future__ import annotations
+
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from fawngw.interface import Effect, ListKind, Readiness
+from fawngw.node.config import ConfigError, load
+from fawngw.node.discovery import ListError, Naming
+from fawngw.node.node import Clock
+from tests.stubs import listing, row, settings
+
+
+def _config(**changes: Any) -> dict[str, Any]:
+    return {
+        "name": "n3",
+        "listen": "127.0.0.1:8000",
+        "discovery": "127.0.0.1:8500",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": listing(41, row("s-1", "127.0.0.1:9000", "DRAINING", 12.0)),
+        "settings": settings(),
+        **changes,
+    }
+
+
+def _environment(tmp_path: Path, raw: Any) -> dict[str, str]:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw))
+    return {"NODE_NAME": "n3", "NODE_LISTEN": "127.0.0.1:0", "NODE_CONFIG": str(path)}
+
+
+def test_environment_and_file_become_settings(tmp_path: Path) -> None:
+    config = load(_environment(tmp_path, _config()))
+    assert config.listen == ("127.0.0.1", 0), "the environment goes before the file"
+    assert config.discovery == ("127.0.0.1", 8500)
+    assert config.seed == 0x8C1F30D27A5BE964
+    assert config.settings.classes[1].effect is Effect.KEYED
+    assert config.settings.ask_for_list and config.settings.may_probe
+    assert config.settings.tenants[0].name == "acme"
+    assert config.known is not None
+    event = config.known.event(cached=True)
+    assert (event.kind, event.version) == (ListKind.CACHED, 41)
+    entry = event.entries[0]
+    assert (entry.server, entry.readiness, entry.started_ms) == (b"s-1", Readiness.DRAINING, 12.0)
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"settings": None}, "settings"),
+        ({"settings": settings(profiles=[])}, "profiles.count"),
+        ({"settings": settings(profiles=[{"name": "x", "effect": "odd"}])}, "profiles.0.effect"),
+        ({"settings": settings(tickMs="soon")}, "tickMs"),
+        ({"settings": settings(policyLimits={"connIdleMs": -1})}, "connIdleMs"),
+        ({"seed": "xyz"}, "seed"),
+        ({"limits": {}}, "memory_mb"),
+        ({"limits": {"memory_mb": 192, "sockets": 3}}, "sockets"),
+        ({"discovery": "nowhere"}, "NODE_DISCOVERY"),
+        ({"known": {"generation": 1}}, "known"),
+    ],
+)
+def test_a_bad_configuration_names_the_field(tmp_path: Path, changes: dict[str, Any], field: str) -> None:
+    with pytest.raises(ConfigError, match=field):
+        load(_environment(tmp_path, _config(**changes)))
+
+
+def test_a_missing_file_names_the_variable(tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match="NODE_CONFIG"):
+        load({"NODE_CONFIG": str(tmp_path / "none.json")})
+    with pytest.raises(ConfigError, match="NODE_CONFIG"):
+        load({})
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        None,
+        [],
+        {"generation": 1, "reset": True},
+        {"generation": 1, "reset": True, "instances": [{}]},
+        {"generation": 1, "reset": True, "instances": [row("a", "127.0.0.1:1", "ODD")]},
+        {"generation": 1, "reset": True, "instances": [row("a", "nowhere")]},
+    ],
+)
+def test_a_bad_list_is_an_error_of_its_own(raw: Any) -> None:
+    with pytest.raises(ListError):
+        Naming((), ()).read(raw)
+
+
+def test_names_become_their_place_in_the_settings() -> None:
+    naming = Naming(("north", "south"), ("std", "slow"))
+    rows = [{**row("a", "h:1"), "zone": "south", "machineType": kind} for kind in ("slow", "odd", "std")]
+    entries = naming.read(listing(1, *rows)).entries
+    assert [entry.zone for entry in entries] == [1, 1, 1]
+    assert len({entry.kind for entry in entries}) == 3
+    assert (entries[0].kind, entries[2].kind) == (1, 0)
+
+
+def test_the_clock_reads_unix_time_and_ignores_a_step_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Start times of servers are Unix time; a set-back system clock must not make a cold server colder."""
+    clock = Clock()
+    assert abs(clock.now() - 1000.0 * time.time()) < 1000.0
+    before = clock.now()
+    monkeypatch.setattr(time, "time", lambda: 0.0)
+    assert clock.now() >= before
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,426 @@
+"""A node between stub callers, servers and discovery, on loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from fawngw.interface import Action, Event, RequestGone
+from tests.stubs import (
+    HOST,
+    PATIENCE_S,
+    StubServer,
+    held,
+    listing,
+    raw,
+    reply,
+    request,
+    reset,
+    row,
+    run,
+    settings,
+    silent,
+    tell,
+    world,
+)
+
+BODY = bytes(range(256)) * 4
+
+
+def test_a_served_request_passes_through_unchanged() -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK", BODY)]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            answer = await caller.ask("move", target="/api/k1?x=%20y", body=BODY, deadline="2.5")
+            assert (answer.status, answer.body) == (200, BODY)
+            (got,) = server.received
+            assert (got.method, got.target, got.body) == ("POST", "/api/k1?x=%20y", BODY)
+            assert got.headers["x-request-id"] == "9b1f03aa5c7e2d41"
+            assert got.headers["idempotency-key"] == "5c0f6e1a2b3d4c59"
+            assert 0.0 < float(got.headers["x-deadline"]) < 2.5
+            assert (await caller.ask("look")).status == 200
+            assert server.opened == 1, "the idle connection was not used again"
+
+    run(main())
+
+
+def test_what_every_server_turns_away_is_refused_with_a_time_to_come_back() -> None:
+    async def main() -> None:
+        full = reply("503 Service Unavailable", extra="X-Not-Run: 1\r\n")
+        async with StubServer([full]) as server, world(row("a", server.address)) as w:
+            answer = await (await w.caller()).ask("book")
+            assert answer.status == 503
+            assert 0.0 < float(answer.headers["retry-after"]) <= 2.0
+
+    run(main())
+
+
+def test_a_turned_away_unsafe_request_goes_to_another_server() -> None:
+    async def main() -> None:
+        full = reply("503 Service Unavailable", extra="X-Not-Run: 1\r\n")
+        async with (
+            StubServer([full, reply("200 OK", b"b")]) as server,
+            world(row("a", server.address)) as w,
+        ):
+            assert (await (await w.caller()).ask("book")).status == 200
+            assert len(server.received) == 2
+
+    run(main())
+
+
+@pytest.mark.parametrize("behaviour", [reply("500 Internal Server Error"), reset, raw(b"nonsense\r\n\r\n")])
+def test_an_unsafe_request_that_may_have_run_fails_and_is_never_sent_again(behaviour: object) -> None:
+    async def main() -> None:
+        async with (
+            StubServer([behaviour]) as one,  # type: ignore[list-item]
+            StubServer([behaviour]) as two,  # type: ignore[list-item]
+            world(row("a", one.address), row("b", two.address)) as w,
+        ):
+            answer = await (await w.caller()).ask("book", body=b"slot")
+            assert answer.status == 502
+            assert "retry-after" not in answer.headers
+            assert len(one.received) + len(two.received) == 1
+
+    run(main())
+
+
+def test_an_idle_connection_that_breaks_after_the_write_is_no_reason_to_send_again() -> None:
+    """Guards against the silent resend on a fresh connection that HTTP clients do."""
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK"), reset]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            assert (await caller.ask("book")).status == 200
+            assert (await caller.ask("book")).status == 502
+            assert (len(server.received), server.opened) == (2, 1)
+
+    run(main())
+
+
+def test_a_client_that_leaves_ends_its_attempt_and_gets_nothing() -> None:
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address)) as w:
+            events = _record(w.node._balancer)
+            caller = await w.caller()
+            caller.writer.write(request("look"))
+            await asyncio.wait_for(server.got.wait(), PATIENCE_S)
+            caller.close()
+            while not any(isinstance(event, RequestGone) for event in events):
+                await asyncio.sleep(0)
+            server.release.set()
+            await asyncio.wait_for(server.left.wait(), PATIENCE_S)
+            assert not w.node._requests and not w.node._calls
+
+    run(main())
+
+
+def _record(balancer: object) -> list[Event]:
+    events: list[Event] = []
+    handle = balancer.handle  # type: ignore[attr-defined]
+
+    def recording(event: Event, now: float) -> list[Action]:
+        events.append(event)
+        actions: list[Action] = handle(event, now)
+        return actions
+
+    balancer.handle = recording  # type: ignore[attr-defined]
+    return events
+
+
+@pytest.mark.parametrize(("kind", "status"), [("book", 502), ("look", 503)])
+def test_an_answer_comes_before_the_deadline_though_the_server_is_silent(kind: str, status: int) -> None:
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            begin = asyncio.get_running_loop().time()
+            answer = await caller.ask(kind, deadline="0.6")
+            assert asyncio.get_running_loop().time() - begin < 0.6 + 0.05, "later than the rule allows"
+            assert answer.status == status
+            assert len(server.received) == 1
+            server.release.set()
+
+    run(main())
+
+
+def test_late_bytes_of_an_attempt_that_was_given_up_reach_no_other_request() -> None:
+    async def main() -> None:
+        behaviours = [held(reply("200 OK", b"old")), reply("200 OK", b"new")]
+        async with StubServer(behaviours) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            assert (await caller.ask("book", deadline="0.3")).status == 502
+            server.release.set()
+            assert (await caller.ask("book")).body == b"new"
+            assert server.opened == 2
+
+    run(main())
+
+
+def test_a_module_that_owes_an_answer_is_overruled_just_before_the_deadline(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address)) as w:
+            w.node._balancer.handle = lambda event, now: []  # type: ignore[method-assign]
+            answer = await (await w.caller()).ask("look", deadline="0.3")
+            assert answer.status == 500
+            assert "not answered in time" in caplog.text
+
+    run(main())
+
+
+def test_a_fault_in_one_request_fails_that_request_alone() -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"fine")]) as server, world(row("a", server.address)) as w:
+            handle = w.node._balancer.handle
+
+            def faulty(event: Event, now: float) -> list[Action]:
+                w.node._balancer.handle = handle  # type: ignore[method-assign]
+                raise RuntimeError("planted")
+
+            w.node._balancer.handle = faulty  # type: ignore[method-assign]
+            caller = await w.caller()
+            assert (await caller.ask("look")).status == 500
+            assert (await caller.ask("look")).body == b"fine"
+
+    run(main())
+
+
+def test_an_event_that_an_action_brings_waits_until_the_module_has_returned() -> None:
+    """A call that ends while its Send is carried out must not reach the module inside a decision."""
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
+            handle, inside, seen = w.node._balancer.handle, False, 0
+
+            def watched(event: Event, now: float) -> list[Action]:
+                nonlocal inside, seen
+                assert not inside, "an event came while the module was deciding"
+                inside, seen = True, seen + 1
+                if seen == 1:
+                    w.node._post(RequestGone(99))
+                actions = handle(event, now)
+                inside = False
+                return actions
+
+            w.node._balancer.handle = watched  # type: ignore[method-assign]
+            assert (await (await w.caller()).ask("look")).status == 200
+            assert seen >= 3, "the event that came in between was dropped"
+
+    run(main())
+
+
+def test_a_drained_server_gets_nothing_new_and_its_idle_connections_close() -> None:
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK", b"a")]) as one,
+            StubServer([reply("200 OK", b"b")]) as two,
+            world(row("a", one.address)) as w,
+        ):
+            caller = await w.caller()
+            assert (await caller.ask("look")).body == b"a"
+            watch = await w.discovery.watch()
+            tell(watch, listing(2, row("a", one.address, "DRAINING"), row("b", two.address), reset=False))
+            await asyncio.wait_for(one.left.wait(), PATIENCE_S)
+            assert {(await caller.ask("look")).body for _ in range(5)} == {b"b"}
+            assert len(one.received) == 1
+
+    run(main())
+
+
+def test_a_restarted_server_is_called_at_its_new_address_over_new_connections() -> None:
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK", b"old")]) as old,
+            StubServer([reply("200 OK", b"new")]) as new,
+            world(row("a", old.address)) as w,
+        ):
+            caller = await w.caller()
+            assert (await caller.ask("look")).body == b"old"
+            watch = await w.discovery.watch()
+            tell(watch, listing(2, row("a", new.address, started=1000.0)))
+            await asyncio.wait_for(old.left.wait(), PATIENCE_S)
+            assert (await caller.ask("look")).body == b"new"
+
+    run(main())
+
+
+@pytest.mark.parametrize("breaks", ["reset", "bad line", "bad list"])
+def test_a_broken_watch_is_a_failed_list_and_is_asked_for_again_from_where_it_was(breaks: str) -> None:
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK")]) as server,
+            world(row("a", server.address)) as w,
+        ):
+            watch = await w.discovery.watch()
+            tell(watch, listing(41, row("a", server.address)))
+            if breaks == "reset":
+                await watch.drain()
+                watch.close()
+            else:
+                tell(watch, b"{nonsense" if breaks == "bad line" else b'{"generation":42,"reset":true}')
+            again = await w.discovery.watch()
+            assert w.discovery.targets == ["/v1/endpoints?watch=1&from=1", "/v1/endpoints?watch=1&from=41"]
+            tell(again, listing(42, reset=False))
+            assert (await (await w.caller()).ask("look")).status == 200, "the last list remains"
+
+    run(main())
+
+
+def test_a_pushed_list_is_watched_unasked_and_again_after_a_break() -> None:
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK")]) as server,
+            world(known=False, registryMode="pushed") as w,
+        ):
+            events = _record(w.node._balancer)
+            (await w.discovery.watch()).close()
+            watch = await w.discovery.watch()
+            caller = await w.caller()
+            assert (await caller.ask(target="/ready")).status == 503, "no list yet"
+            tell(watch, listing(5, row("a", server.address)))
+            while not events:
+                await asyncio.sleep(0)
+            assert (await caller.ask(target="/ready")).status == 200
+            assert (await caller.ask("look")).status == 200
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    ("bad", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (request("look", target="/other"), 404),
+        (request("nosuch"), 400),
+        (request("look", drop=("X-Tenant",)), 400),
+        (request("look", drop=("X-Request-Id",)), 400),
+        (request("look", drop=("X-Deadline",)), 400),
+        (request("look", drop=("X-Class",)), 400),
+        (request("look", drop=("X-Tenant",), extra="X-Tenant: nobody\r\n"), 400),
+        (request("look", extra="X-Class: book\r\n"), 400),
+        (request("look", deadline="soon"), 400),
+        (request("look", deadline="-1"), 400),
+        (request("look", deadline="nan"), 400),
+        (request("look", deadline="inf"), 400),
+        (request("look", method="POST"), 400),
+        (request("book", method="GET"), 400),
+        (request("look", body=b"x"), 400),
+        (request("move", drop=("Idempotency-Key",)), 400),
+        (request("book", extra="Idempotency-Key: k\r\n"), 400),
+        (request("look", extra="X-Cost-Hint: much\r\n"), 400),
+        (request("look", extra="Connection: Upgrade\r\nUpgrade: websocket\r\n"), 400),
+        (request("book", body=b"x" * 65537), 413),
+        (request("look", extra="X-Long: " + "x" * 20000 + "\r\n"), 400),
+    ],
+)
+def test_bad_input_is_answered_at_once_and_not_sent_on(bad: bytes, status: int) -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            caller.writer.write(bad)
+            assert (await caller.answer()).status == status
+            assert not server.received
+            assert (await (await w.caller()).ask("look")).status == 200
+
+    run(main())
+
+
+def test_a_chunked_body_over_the_limit_is_refused_before_its_end() -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            head = request("book", drop=("Content-Length",), extra="Transfer-Encoding: chunked\r\n")
+            caller.writer.write(head + b"11000\r\n" + b"x" * 0x11000)
+            assert (await caller.answer()).status == 413
+            assert not server.received
+
+    run(main())
+
+
+def test_requests_in_a_row_on_one_connection_are_answered_in_their_order() -> None:
+    async def main() -> None:
+        behaviours = [reply("200 OK", b"%d" % i) for i in range(8)]
+        async with StubServer(behaviours) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            caller.writer.write(b"".join(request("look", target=f"/api/{i}") for i in range(8)))
+            bodies = [(await caller.answer()).body for _ in range(8)]
+            by_target = {got.target: b"%d" % i for i, got in enumerate(server.received)}
+            assert bodies == [by_target[f"/api/{i}"] for i in range(8)]
+
+    run(main())
+
+
+def test_terminating_answers_what_is_here_and_what_still_comes() -> None:
+    async def main() -> None:
+        async with (
+            StubServer([held(reply("200 OK", b"first")), reply("200 OK", b"second")]) as server,
+            world(row("a", server.address)) as w,
+        ):
+            idle, busy = await w.caller(), await w.caller()
+            assert (await idle.ask(target="/ready")).status == 200
+            busy.writer.write(request("look"))
+            await asyncio.wait_for(server.got.wait(), PATIENCE_S)
+            w.node.terminate()
+            assert await idle.ended(), "an idle connection stayed open"
+            answer = await (await w.caller()).ask(target="/ready")
+            assert (answer.status, answer.headers["connection"]) == (503, "close")
+            answer = await (await w.caller()).ask("look")
+            assert (answer.body, answer.headers["connection"]) == (b"second", "close")
+            assert not w.serving.done(), "it ended with a request open"
+            server.release.set()
+            answer = await busy.answer()
+            assert (answer.body, answer.headers["connection"]) == (b"first", "close")
+            await asyncio.wait_for(w.serving, PATIENCE_S)
+
+    run(main())
+
+
+def test_what_is_still_open_when_the_time_runs_out_is_failed_not_dropped() -> None:
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address)) as w:
+            caller = await w.caller()
+            caller.writer.write(request("book", deadline="30"))
+            await asyncio.wait_for(server.got.wait(), PATIENCE_S)
+            w.node.terminate()
+            w.node._fail_rest()
+            assert (await caller.answer()).status == 500
+            server.release.set()
+
+    run(main())
+
+
+def test_more_callers_than_descriptors_are_refused_and_idle_ones_make_way() -> None:
+    async def main() -> None:
+        async with StubServer([silent]) as server, world(row("a", server.address), sockets=64) as w:
+            w.node._balancer.handle = lambda event, now: []  # type: ignore[method-assign]
+            most = w.node._callers._most
+            idle = await w.caller()
+            assert (await idle.ask(target="/ready")).status == 200
+            busy = [await w.caller() for _ in range(most)]
+            assert await idle.ended(), "the idle connection did not make way"
+            for caller in busy:
+                caller.writer.write(request("look", deadline="5"))
+            while len(w.node._requests) < most:
+                await asyncio.sleep(0)
+            answer = await (await w.caller()).ask("look")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
+            assert len(w.node._requests) == most
+            server.release.set()
+            for caller in busy:
+                caller.close()
+
+    run(main())
+
+
+def test_the_settings_of_the_stubs_are_read_whole() -> None:
+    """Guards the tests here: a renamed key would silently become a default."""
+    names = {c["name"] for c in settings()["profiles"]}
+
+    async def main() -> None:
+        async with world(row("a", f"{HOST}:1")) as w:
+            assert {c.name for c in w.node._config.settings.classes} == names
+            assert w.node._config.settings.ask_for_list
+
+    run(main())
--- /dev/null
+++ b/tests/test_run.py
@@ -0,0 +1,83 @@
+"""The commands of deploy/balancer.toml, as the platform starts them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import re
+import signal
+import tomllib
+from pathlib import Path
+
+from tests.stubs import (
+    HOST,
+    PATIENCE_S,
+    Caller,
+    StubDiscovery,
+    StubServer,
+    listing,
+    reply,
+    row,
+    run,
+    settings,
+)
+
+ROOT = Path(__file__).parent.parent
+
+
+async def _start(environment: dict[str, str]) -> asyncio.subprocess.Process:
+    command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    return await asyncio.create_subprocess_exec(
+        "/bin/sh",
+        "-c",
+        command,
+        cwd=ROOT,
+        env={**os.environ, **environment},
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+def test_run_serves_a_request_and_ends_with_0_on_sigterm(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK", b"served")]) as server, StubDiscovery() as discovery:
+            config = tmp_path / "config.json"
+            raw = {
+                "seed": "1",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "known": listing(1, row("a", server.address)),
+                "settings": settings(),
+            }
+            config.write_text(json.dumps(raw))
+            process = await _start(
+                {
+                    "NODE_NAME": "n0",
+                    "NODE_LISTEN": f"{HOST}:0",
+                    "NODE_DISCOVERY": discovery.address,
+                    "NODE_CONFIG": str(config),
+                }
+            )
+            assert process.stderr is not None
+            line = (await asyncio.wait_for(process.stderr.readline(), PATIENCE_S)).decode()
+            found = re.search(r"listens on ([\d.]+):(\d+)", line)
+            assert found, line
+            caller = await Caller.connect((found[1], int(found[2])))
+            assert (await caller.ask(target="/ready")).status == 200
+            assert (await caller.ask("look")).body == b"served"
+            process.send_signal(signal.SIGTERM)
+            _, log = await asyncio.wait_for(process.communicate(), PATIENCE_S)
+            assert process.returncode == 0, log.decode()
+
+    run(main())
+
+
+def test_a_bad_configuration_is_one_line_and_exit_code_2(tmp_path: Path) -> None:
+    async def main() -> None:
+        config = tmp_path / "config.json"
+        config.write_text("{}")
+        process = await _start({"NODE_NAME": "n0", "NODE_CONFIG": str(config)})
+        _, error = await asyncio.wait_for(process.communicate(), PATIENCE_S)
+        assert process.returncode == 2
+        assert error.decode() == "fawngw: settings is missing or not of type dict: None\n"
+
+    run(main())
--- /dev/null
+++ b/tests/test_servers.py
@@ -0,0 +1,218 @@
+"""The outcome of each attempt, as the protocol's table has it, and the connections between attempts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+import pytest
+
+from fawngw.interface import Outcome
+from fawngw.node.discovery import Naming
+from fawngw.node.http import Message
+from fawngw.node.servers import Call, Servers
+from tests.stubs import HOST, PATIENCE_S, Behaviour, StubServer, listing, raw, reply, reset, row, run, silent
+
+REQUEST = b"GET /api/x HTTP/1.1\r\nHost: h\r\n\r\n"
+NOT_RUN = "X-Not-Run: 1\r\n"
+
+
+class Attempts:
+    """Calls to one server and their outcomes."""
+
+    def __init__(self, servers: Servers) -> None:
+        self.servers = servers
+        self.ended: list[Outcome] = []
+
+    def begin(
+        self, timeout_s: float = PATIENCE_S, server: bytes = b"a"
+    ) -> tuple[Call, asyncio.Future[tuple[Outcome, bytes]]]:
+        future: asyncio.Future[tuple[Outcome, bytes]] = asyncio.get_running_loop().create_future()
+
+        def done(outcome: Outcome, answer: Message | None) -> None:
+            self.ended.append(outcome)
+            future.set_result((outcome, answer.body if answer is not None else b""))
+
+        return self.servers.call(server, lambda _: REQUEST, timeout_s, done), future
+
+    async def outcome(self, timeout_s: float = PATIENCE_S) -> tuple[Outcome, bytes]:
+        return await self.begin(timeout_s)[1]
+
+
+@contextlib.asynccontextmanager
+async def attempts(address: str, *, most_open: int = 100, idle_s: float = 30.0) -> AsyncIterator[Attempts]:
+    servers = Servers(connect_s=0.15, idle_s=idle_s, most_open=most_open)
+    servers.update(Naming((), ()).read(listing(1, row("a", address))))
+    try:
+        yield Attempts(servers)
+    finally:
+        servers.close()
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "outcome"),
+    [
+        (reply("200 OK", b"body"), Outcome.OK),
+        (raw(b"HTTP/1.1 200 OK\r\n\r\nbody", close=True), Outcome.OK),
+        (raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"), Outcome.OK),
+        (raw(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"), Outcome.OK),
+        (reply("500 Internal Server Error"), Outcome.ERROR),
+        (reply("503 Service Unavailable", extra=NOT_RUN), Outcome.FULL),
+        (reply("504 Gateway Timeout", extra=NOT_RUN), Outcome.FULL),
+        (reply("503 Service Unavailable"), Outcome.ERROR),
+        (reply("500 Internal Server Error", extra=NOT_RUN), Outcome.ERROR),
+        (reply("404 Not Found"), Outcome.ERROR),
+        (reset, Outcome.RESET),
+        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", close=True), Outcome.RESET),
+        (
+            raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", close=True),
+            Outcome.RESET,
+        ),
+        (raw(b"nonsense\r\n\r\n"), Outcome.RESET),
+        (reply("200 OK", b"x" * 65537), Outcome.RESET),
+        (raw(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 20000), Outcome.RESET),
+    ],
+)
+def test_what_comes_back_decides_the_outcome(behaviour: Behaviour, outcome: Outcome) -> None:
+    async def main() -> None:
+        async with StubServer([behaviour]) as server, attempts(server.address) as a:
+            got, body = await a.outcome()
+            assert got is outcome
+            if outcome is Outcome.OK:
+                assert body == b"body"
+            assert len(server.received) == 1
+
+    run(main())
+
+
+def test_silence_is_a_time_out_and_closes_the_connection() -> None:
+    async def main() -> None:
+        async with StubServer([silent]) as server, attempts(server.address) as a:
+            assert await a.outcome(0.1) == (Outcome.TIMEOUT, b"")
+            server.release.set()
+            await asyncio.wait_for(server.left.wait(), PATIENCE_S)
+
+    run(main())
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def main() -> None:
+        with socket.socket() as free:
+            free.bind((HOST, 0))
+            async with attempts(f"{HOST}:{free.getsockname()[1]}") as a:
+                assert await a.outcome() == (Outcome.CONNECT_FAILED, b"")
+
+    run(main())
+
+
+def test_a_connection_that_never_comes_up_never_ran() -> None:
+    """A listening socket whose backlog is full leaves new connections unanswered, as a cut machine does."""
+
+    async def main() -> None:
+        with socket.socket() as listener, contextlib.ExitStack() as stack:
+            listener.bind((HOST, 0))
+            listener.listen(0)
+            for _ in range(4):
+                filler = stack.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex(listener.getsockname())
+            async with attempts(f"{HOST}:{listener.getsockname()[1]}") as a:
+                assert await a.outcome() == (Outcome.CONNECT_FAILED, b"")
+
+    run(main())
+
+
+def test_an_unknown_server_never_ran() -> None:
+    async def main() -> None:
+        async with attempts(f"{HOST}:1") as a:
+            a.servers.update(Naming((), ()).read(listing(2)))
+            assert await a.outcome() == (Outcome.CONNECT_FAILED, b"")
+
+    run(main())
+
+
+def test_a_cancelled_attempt_has_one_outcome() -> None:
+    async def main() -> None:
+        async with StubServer([silent]) as server, attempts(server.address) as a:
+            call, future = a.begin()
+            await asyncio.wait_for(server.got.wait(), PATIENCE_S)
+            call.give_up(Outcome.CANCELLED)
+            call.give_up(Outcome.TIMEOUT)
+            server.release.set()
+            await asyncio.wait_for(server.left.wait(), PATIENCE_S)
+            assert (await future)[0] is Outcome.CANCELLED
+            assert a.ended == [Outcome.CANCELLED]
+
+    run(main())
+
+
+def test_an_answer_that_closes_is_whole_and_its_connection_is_not_kept() -> None:
+    async def main() -> None:
+        closing = reply("200 OK", b"body", "Connection: close\r\n")
+        async with StubServer([closing]) as server, attempts(server.address) as a:
+            assert await a.outcome() == (Outcome.OK, b"body")
+            assert await a.outcome() == (Outcome.OK, b"body")
+            assert server.opened == 2
+
+    run(main())
+
+
+def test_bytes_that_nobody_asked_for_spoil_a_connection() -> None:
+    """Guards against an answer's surplus being read as the next request's answer."""
+
+    async def main() -> None:
+        twice = raw(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1" * 2)
+        async with StubServer([twice, reply("200 OK", b"2")]) as server, attempts(server.address) as a:
+            assert await a.outcome() == (Outcome.OK, b"1")
+            await asyncio.wait_for(server.left.wait(), PATIENCE_S)
+            assert await a.outcome() == (Outcome.OK, b"2")
+
+    run(main())
+
+
+def test_idle_connections_close_well_before_the_server_would() -> None:
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, attempts(server.address, idle_s=0.0) as a:
+            await a.outcome()
+            await asyncio.wait_for(server.left.wait(), PATIENCE_S)
+
+    run(main())
+
+
+def test_close_idle_leaves_calls_alone() -> None:
+    async def main() -> None:
+        behaviours = [reply("200 OK"), silent]
+        async with StubServer(behaviours) as server, attempts(server.address) as a:
+            await a.outcome()
+            a.servers.close_idle(b"a")
+            await asyncio.wait_for(server.left.wait(), PATIENCE_S)
+            server.got.clear()
+            call, future = a.begin()
+            await asyncio.wait_for(server.got.wait(), PATIENCE_S)
+            a.servers.close_idle(b"a")
+            assert not future.done()
+            call.give_up(Outcome.CANCELLED)
+            server.release.set()
+
+    run(main())
+
+
+def test_short_of_descriptors_idle_connections_go_first_then_connecting_fails() -> None:
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK")]) as one,
+            StubServer([silent]) as two,
+            attempts(one.address, most_open=1) as a,
+        ):
+            a.servers.update(Naming((), ()).read(listing(2, row("a", one.address), row("b", two.address))))
+            await a.outcome()
+            call, future = a.begin(server=b"b")
+            await asyncio.wait_for(two.got.wait(), PATIENCE_S)
+            assert await a.outcome() == (Outcome.CONNECT_FAILED, b"")
+            assert not future.done()
+            call.give_up(Outcome.CANCELLED)
+            two.release.set()
+
+    run(main())
