--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -402,3 +402,11 @@
     assert any(t.startswith("admission limit on") for t in texts(play))
     requests = [play.arrive() for _ in range(30)]
     assert sum(1 for request in requests for _ in play.live(request)) >= 3 * 4 - 1
+
+
+def test_a_quick_start_is_not_taken_for_calm() -> None:
+    """Guards against the first answers, which an empty fleet gives: twice those was the usual mean."""
+    play = make(RequestClass("r", 1500, 4000))
+    serve(play, 12, latency=50.0)
+    serve(play, 60, latency=150.0)
+    assert not any(t.startswith("admission limit on") for t in texts(play))
