Node: bound the bodies held, end promptly at SIGTERM, take a hint as a guess

A connection that lingered after its last answer kept a terminating node up to 1 s longer (busy() counted it). While terminating, the first of two requests in a row was answered with Connection: close and the second lost. A cost hint of 0 was answered 400.

Change: bodies of open requests are bounded by a quarter of the memory, beyond that a refusal with Retry-After; busy() counts what is owed; only the last answer closes; an unreadable hint is none.

--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -28,8 +28,9 @@
 
 log = logging.getLogger(__name__)
 
-MOST_PIPELINED = 4  # requests that a connection may have open; beyond that it is read no further
+MOST_PIPELINED = 2  # requests that a connection may have open; beyond that it is read no further
 LONGEST_DEADLINE_S = 3600.0
+HINT_MOST_US = 1e9
 STALLED_S = 30.0  # for a request to come in whole, or a caller to read its answer
 SWEEP_S = 1.0
 LINGER_S = 1.0  # after an early answer what still comes in is read away, else a reset could overtake it
@@ -52,12 +53,13 @@
 class Exchange:
     """One request of a caller's and the place of its one answer."""
 
-    __slots__ = ("_connection", "close", "gone", "on_gone", "output")
+    __slots__ = ("_connection", "close", "gone", "on_gone", "output", "size")
 
     def __init__(self, connection: CallerConnection, close: bool) -> None:
         self._connection = connection
         self.close = close
         self.gone = False
+        self.size = 0  # bytes of its body, counted while it is open
         self.output: bytes | None = None
         self.on_gone: Callable[[], None] | None = None
 
@@ -65,7 +67,9 @@
         """Send the answer; nothing goes to a caller that has left, and no second answer to anybody."""
         if self.gone or self.output is not None:
             return
-        self.close = self.close or self._connection.callers.closing
+        # Nothing may follow an answer that closes: with more requests behind it this one leaves open.
+        self.close = self.close or (self._connection.callers.closing and self._connection.is_last(self))
+        self._connection.callers.release(self)
         self.output = answer(status, body, extra, close=self.close)
         self._connection.flush()
 
@@ -91,6 +95,14 @@
         """Between requests: may be closed, as the caller sends a crossing request anew."""
         return not self._exchanges and not self._reader.within and not self._deaf
 
+    def is_last(self, exchange: Exchange) -> bool:
+        return bool(self._exchanges) and self._exchanges[-1] is exchange
+
+    def owes(self) -> bool:
+        """Whether an answer, or a part of one, is still to be sent, or a request is coming in."""
+        unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
+        return unsent or bool(self._exchanges) or (self._reader.within and not self._deaf)
+
     def stalled(self) -> bool:
         return self._choked or (self._reader.within and not self._exchanges)
 
@@ -169,6 +181,7 @@
         exchanges, self._exchanges = self._exchanges, deque()
         for exchange in exchanges:
             exchange.gone = True
+            self.callers.release(exchange)
             if exchange.on_gone is not None and exchange.output is None:
                 exchange.on_gone()
 
@@ -194,7 +207,12 @@
     """The listening socket and all connections of callers."""
 
     def __init__(
-        self, settings: Settings, take: Callable[[Ask, Exchange], None], ready: Callable[[], bool], most: int
+        self,
+        settings: Settings,
+        take: Callable[[Ask, Exchange], None],
+        ready: Callable[[], bool],
+        most: int,
+        most_bytes: int,
     ) -> None:
         self.closing = False
         self.last_heard = 0.0  # when a connection or a request last came
@@ -204,6 +222,8 @@
         self._take = take
         self._ready = ready
         self._most = most
+        self._most_bytes = most_bytes
+        self._bytes = 0
         self._loop = asyncio.get_running_loop()
         self._open: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -239,6 +259,11 @@
         """More connections than the limit, and none idle to close: what comes now is refused."""
         return len(self._open) > self._most
 
+    def release(self, exchange: Exchange) -> None:
+        """The body of a request that is over no longer counts."""
+        self._bytes -= exchange.size
+        exchange.size = 0
+
     def _shed_one(self, newest: CallerConnection) -> None:
         idle = [c for c in self._open if c is not newest and c.idle()]
         if idle:
@@ -258,7 +283,7 @@
 
     def busy(self) -> bool:
         """Whether a caller is still owed something, or is sending."""
-        return any(not c.idle() for c in self._open)
+        return any(c.owes() for c in self._open)
 
     def close(self) -> None:
         self._sweeper.cancel()
@@ -279,10 +304,12 @@
             exchange.answer(200 if self._ready() and not self.closing else 503)
         elif path == b"/api" or path.startswith(b"/api/"):
             ask = self._ask(message, path)
-            if self.crowded():
+            if self.crowded() or self._bytes + len(message.body) > self._most_bytes:
                 exchange.close = True
                 exchange.answer(503, extra=b"Retry-After: %.3f\r\n" % FULL_RETRY_S)
             else:
+                exchange.size = len(message.body)
+                self._bytes += exchange.size
                 self._take(ask, exchange)
         else:
             raise MessageError(404, "path")
@@ -306,7 +333,7 @@
             tenant=tenant,
             key=int.from_bytes(blake2b(item, digest_size=8).digest(), "big") if item else 0,
             budget_ms=1000.0 * _number(headers[DEADLINE], "deadline", LONGEST_DEADLINE_S),
-            cost_hint_ms=None if hint is None else _number(hint, "cost hint", float("inf")) / 1000.0,
+            cost_hint_ms=_hint_ms(hint),
             is_repeat=headers.get(RETRY) == b"1",
         )
 
@@ -324,6 +351,14 @@
             raise MessageError(400, "method or key does not fit the class")
 
 
+def _hint_ms(text: bytes | None) -> float | None:
+    """A hint is a guess: one that cannot be read is none, and no reason to turn the request down."""
+    try:
+        return None if text is None else _number(text, "cost hint", HINT_MOST_US) / 1000.0
+    except MessageError:
+        return None
+
+
 def _number(text: bytes, what: str, most: float) -> float:
     try:
         value = float(text)
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -53,6 +53,7 @@
 CALL_PART = 0.4  # of the time to ask again: a call for the list has failed before the next is made
 
 CALLERS_PART = 0.4  # of all descriptors
+BODIES_PART = 0.25  # of the memory, for the bodies of open requests; as much again may be in buffers
 SERVERS_PART = 0.45  # the rest is kept for new connections, discovery and the process itself
 
 QUIET_S = 0.6  # after SIGTERM: new connections come for up to 0.4 s
@@ -109,7 +110,13 @@
             idle_s=config.conn_idle_ms / 1000.0,
             most_open=int(SERVERS_PART * sockets),
         )
-        self._callers = Callers(settings, self._take, self._servers.any_listed, int(CALLERS_PART * sockets))
+        self._callers = Callers(
+            settings,
+            self._take,
+            self._servers.any_listed,
+            most=int(CALLERS_PART * sockets),
+            most_bytes=int(BODIES_PART * config.limits.memory_mb * 1_000_000),
+        )
         self._discovery = Discovery(
             config.discovery,
             config.naming,
