Follow discovery to another address at SIGHUP

Now the file is read again and the watch on its address is up before the old one is dropped; a file that cannot be read keeps the old one. Numbers of unlisted names are computed, so that Naming no longer grows. Tests: SIGHUP over sockets and on the real program.

--- a/fawngw/__main__.py
+++ b/fawngw/__main__.py
@@ -5,6 +5,7 @@
 import gc
 import logging
 import os
+import signal
 import sys
 
 import uvloop
@@ -23,6 +24,8 @@
 
 def main() -> int:
     """Exit code 0 after SIGTERM, 2 with one plain line on standard error for a bad configuration."""
+    # Until the node listens there is nothing to be done again; the default would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
         config = load(os.environ)
--- a/fawngw/node/config.py
+++ b/fawngw/node/config.py
@@ -35,6 +35,7 @@
 class Config:
     """All that a node knows when it starts."""
 
+    path: str  # of the file, which is read again at SIGHUP
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
@@ -48,7 +49,8 @@
 
 def load(environment: Mapping[str, str]) -> Config:
     """The configuration of this process."""
-    raw = _read_file(_variable(environment, "NODE_CONFIG"))
+    path = _variable(environment, "NODE_CONFIG")
+    raw = _read_file(path)
     settings_raw = _member(raw, "settings", dict)
     values = dict(flat(settings_raw))
     try:
@@ -58,6 +60,7 @@
     naming = Naming(_names(settings_raw, "azs"), _names(settings_raw, "models"))
     limits = _member(raw, "limits", dict)
     return Config(
+        path=path,
         name=environment.get("NODE_NAME") or _member(raw, "name", str),
         listen=_address(environment, raw, "NODE_LISTEN", "listen"),
         discovery=_address(environment, raw, "NODE_DISCOVERY", "discovery"),
@@ -70,6 +73,11 @@
     )
 
 
+def discovery_anew(path: str) -> tuple[str, int]:
+    """Where discovery is by the file as it stands now; the environment names the address of the start."""
+    return _address({}, _read_file(path), "discovery", "discovery")
+
+
 def _variable(environment: Mapping[str, str], name: str) -> str:
     value = environment.get(name, "")
     if not value:
--- a/fawngw/node/discovery.py
+++ b/fawngw/node/discovery.py
@@ -6,8 +6,9 @@
 import json
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any, cast
+from zlib import crc32
 
 import httptools
 
@@ -45,13 +46,12 @@
         return ServerList(kind, self.entries, self.version)
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Naming:
     """Turns discovery's names of zones, machine types and cells into the module's numbers."""
 
     zones: tuple[str, ...]
     models: tuple[str, ...]
-    _others: dict[tuple[str, str], int] = field(default_factory=dict)
 
     def read(self, raw: Any) -> Listing:
         """One object of discovery's; ListError if it is not one."""
@@ -74,71 +74,116 @@
             server=item["instanceId"].encode(),
             readiness=_LIFECYCLES[item["lifecycle"]],
             capacity_hint=float(item.get("weight", 1.0)),
-            kind=self._number("kind", self.models, item.get("machineType", "")),
-            zone=self._number("zone", self.zones, item.get("zone", "")),
-            cell=self._number("cell", (), item.get("cell", 0)),
+            kind=_number(self.models, item.get("machineType", "")),
+            zone=_number(self.zones, item.get("zone", "")),
+            cell=_number((), item.get("cell", 0)),
             started_ms=float(item.get("startedAtMs", 0)),
         )
 
-    def _number(self, sort: str, names: tuple[str, ...], name: Any) -> int:
-        if isinstance(name, int):
-            return name
-        if name in names:
-            return names.index(name)
-        # A name that the settings do not list still tells its servers from the others.
-        return self._others.setdefault((sort, str(name)), len(names) + len(self._others))
+
+def _number(names: tuple[str, ...], name: Any) -> int:
+    """A name that the settings do not list still tells its servers from the others.
+
+    Its number is computed and not remembered: over a long day new names must not add up.
+    """
+    if isinstance(name, int):
+        return name
+    if name in names:
+        return names.index(name)
+    return len(names) + crc32(str(name).encode())
 
 
 class _Watch(asyncio.Protocol):
-    """One watch on one connection: whole lines out, one call to ended at its end."""
+    """One watch on one connection: whole lines out, then one call to ended, unless it was closed before."""
 
-    def __init__(self, target: bytes, host: bytes, lines: Callable[[bytes], None], ended: Callable[[], None]):
-        self._request = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, host)
-        self._lines = lines
-        self._ended = ended
+    def __init__(
+        self,
+        address: tuple[str, int],
+        version: int,
+        call_s: float,
+        on_line: Callable[[_Watch, bytes], None],
+        on_ended: Callable[[_Watch], None],
+    ) -> None:
+        host, port = address
+        self._request = b"GET /v1/endpoints?watch=1&from=%d HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (
+            version,
+            host.encode(),
+            port,
+        )
+        self._on_line = on_line
+        self._on_ended = on_ended
         self._parser = httptools.HttpResponseParser(self)
         self._rest = b""
-        self.transport: asyncio.Transport | None = None
+        self._over = False
+        self._transport: asyncio.Transport | None = None
+        self._loop = asyncio.get_running_loop()
+        self._timer = self._loop.call_later(call_s, self._end)
+        self._opening = self._loop.create_task(self._open(host, port))
+
+    async def _open(self, host: str, port: int) -> None:
+        try:
+            await self._loop.create_connection(lambda: self, host, port)
+        except OSError:
+            self._end()
+
+    def close(self) -> None:
+        """Drop it without a word."""
+        self._over = True
+        self._timer.cancel()
+        self._opening.cancel()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _end(self) -> None:
+        if not self._over:
+            self.close()
+            self._on_ended(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
-        self.transport.write(self._request)
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
+        if self._over:
+            self._transport.abort()
+        else:
+            self._transport.write(self._request)
 
     def data_received(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            log.warning("discovery: the answer cannot be read: %s", error)
-            self._close()
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if not self._over:
+                log.warning("discovery: the answer cannot be read: %s", error)
+                self._end()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._ended()
+        self._end()
 
     def on_headers_complete(self) -> None:
         if self._parser.get_status_code() != 200:
-            self._close()
+            self._end()
 
     def on_body(self, part: bytes) -> None:
         *whole, self._rest = (self._rest + part).split(b"\n")
         for line in whole:
-            self._lines(line)
+            if self._over:
+                return
+            # A cut link says nothing: without a word in this time the watch has failed.
+            self._timer.cancel()
+            self._timer = self._loop.call_later(SILENCE_S, self._end)
+            self._on_line(self, line)
         if len(self._rest) > MAX_LINE:
             log.warning("discovery: a line of more than %d bytes", MAX_LINE)
-            self._close()
+            self._end()
 
     def on_message_complete(self) -> None:
-        self._close()
-
-    def _close(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
+        self._end()
 
 
 class Discovery:
     """Keeps at most one watch; tells of each list, and once of each call or watch that failed.
 
     Where lists are pushed the watch is on the machine's own agent: it costs nothing, is kept up without
-    being asked for, and its breaks say nothing of the list.
+    being asked for, and its breaks say nothing of the list.  When discovery moves, the watch on the new
+    address is up before the old one is dropped; a failure is told only when neither is left.
     """
 
     def __init__(
@@ -160,7 +205,7 @@
         self._loop = asyncio.get_running_loop()
         self._version = 0
         self._watch: _Watch | None = None
-        self._call: asyncio.Task[None] | None = None
+        self._successor: _Watch | None = None  # at the address that discovery moved to, until it speaks
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self, version: int) -> None:
@@ -172,60 +217,64 @@
     def subscribe(self) -> None:
         """Watch from the last version on; replaces a watch that is still there."""
         self.close()
-        self._call = self._loop.create_task(self._open())
+        self._watch = self._begin()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery has another address: watch it there, and leave the old watch when it speaks."""
+        if address == self._address:
+            return
+        self._address = address
+        if self._successor is not None:
+            self._successor.close()
+            self._successor = None
+        if self._watch is not None:
+            self._succeed()
+        # Else nobody has asked, or the next call is planned already: it will go to the new address.
 
     def close(self) -> None:
         """Drop the watch without a word."""
-        watch, self._watch = self._watch, None
-        if self._call is not None:
-            self._call.cancel()
-            self._call = None
-        self._expect(None)
-        if watch is not None:
-            watch._close()
-
-    async def _open(self) -> None:
-        host, port = self._address
-        target = b"/v1/endpoints?watch=1&from=%d" % self._version
-        watch = _Watch(
-            target,
-            b"%s:%d" % (host.encode(), port),
-            lambda line: self._line(watch, line),
-            lambda: self._lost(watch),
-        )
-        self._watch = watch
-        self._expect(self._call_s)
-        try:
-            await self._loop.create_connection(lambda: watch, host, port)
-        except OSError:
-            self._lost(watch)
-
-    def _expect(self, seconds: float | None) -> None:
-        """A cut link says nothing: without a word in this time the watch has failed."""
+        for watch in (self._watch, self._successor):
+            if watch is not None:
+                watch.close()
+        self._watch = self._successor = None
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = None if seconds is None else self._loop.call_later(seconds, self._fail)
+            self._timer = None
+
+    def _begin(self) -> _Watch:
+        return _Watch(self._address, self._version, self._call_s, self._line, self._ended)
+
+    def _succeed(self) -> None:
+        self._timer = None
+        self._successor = self._begin()
 
     def _line(self, watch: _Watch, line: bytes) -> None:
-        if watch is not self._watch:
-            return  # a late line of a watch that was given up
-        self._expect(SILENCE_S)
+        if watch is self._successor:
+            if self._watch is not None:
+                self._watch.close()
+            self._watch, self._successor = watch, None
         if not line.strip():
             return
         try:
             listing = self._naming.read(json.loads(line))
         except (ValueError, ListError) as error:
             log.warning("discovery: bad line: %s", error)
-            self._fail()
+            watch.close()
+            self._ended(watch)
             return
         self._version = listing.version
         self._on_list(listing)
 
-    def _lost(self, watch: _Watch) -> None:
-        if watch is self._watch:
-            self._fail()
-
-    def _fail(self) -> None:
+    def _ended(self, watch: _Watch) -> None:
+        if watch is self._successor:
+            self._successor = None
+            if self._watch is not None:  # it still holds: time for another try
+                self._timer = self._loop.call_later(REWATCH_S, self._succeed)
+                return
+        elif watch is self._watch:
+            self._watch = None
+            if self._successor is not None:  # the one that closes after a move; the other is on its way
+                return
         self.close()
         if self._pushed:
             self._timer = self._loop.call_later(REWATCH_S, self.subscribe)
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -38,7 +38,7 @@
     TimerFired,
 )
 from fawngw.node.callers import Ask, Callers, Exchange
-from fawngw.node.config import Config
+from fawngw.node.config import Config, ConfigError, discovery_anew
 from fawngw.node.discovery import Discovery, Listing
 from fawngw.node.http import CONTENT_TYPE, Message, request_head
 from fawngw.node.servers import Call, Servers
@@ -130,6 +130,7 @@
         """Listen; returns the address that was bound."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.terminate)
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         known = self._config.known
         if known is not None:
             self._servers.update(known)
@@ -331,6 +332,16 @@
         self._servers.update(listing)
         self._post(listing.event())
 
+    def reload(self) -> None:
+        """SIGHUP: the configuration file was replaced; discovery may have moved."""
+        try:
+            address = discovery_anew(self._config.path)
+        except ConfigError as error:
+            log.error("kept the old configuration: %s", error)
+            return
+        log.info("configuration read again, discovery is at %s:%d", *address)
+        self._discovery.move(address)
+
     # ------------------------------------------------------------ the end
 
     def terminate(self) -> None:
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -194,6 +194,7 @@
     address: str = ""
     targets: list[str] = field(default_factory=list)
     watches: asyncio.Queue[asyncio.StreamWriter] = field(default_factory=asyncio.Queue)
+    left: asyncio.Event = field(default_factory=asyncio.Event)  # a watch has ended
 
     async def __aenter__(self) -> StubDiscovery:
         self._server = await asyncio.start_server(self._serve, HOST, 0)
@@ -208,6 +209,9 @@
         self.targets.append(first.split(" ")[1])
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.watches.put_nowait(writer)
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+        self.left.set()
 
     async def watch(self) -> asyncio.StreamWriter:
         """The next watch that a node opens."""
@@ -309,13 +313,14 @@
 
 @contextlib.asynccontextmanager
 async def world(
-    *rows: dict[str, Any], sockets: int = 256, known: bool = True, **changes: Any
+    *rows: dict[str, Any], sockets: int = 256, known: bool = True, path: str = "", **changes: Any
 ) -> AsyncIterator[World]:
     """A node that knows these servers; changes go into its settings."""
     naming = Naming(("hall",), ("std",))
     async with StubDiscovery() as discovery:
         host, _, port = discovery.address.rpartition(":")
         config = Config(
+            path=path,
             name="n0",
             listen=(HOST, 0),
             discovery=(host, int(port)),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
+import signal
+from pathlib import Path
 
 import pytest
 
-from fawngw.interface import Action, Event, RequestGone
+from fawngw.interface import Action, Event, ListKind, RequestGone, ServerList
 from tests.stubs import (
     HOST,
     PATIENCE_S,
+    StubDiscovery,
     StubServer,
     held,
     listing,
@@ -287,6 +292,84 @@
     run(main())
 
 
+def test_at_sighup_the_new_watch_is_up_before_the_old_one_is_dropped(tmp_path: Path) -> None:
+    async def main() -> None:
+        config = tmp_path / "config.json"
+        async with (
+            StubServer([reply("200 OK", b"a")]) as one,
+            StubServer([reply("200 OK", b"b")]) as two,
+            StubDiscovery() as moved,
+            world(row("a", one.address), path=str(config)) as w,
+        ):
+            old = await w.discovery.watch()
+            tell(old, listing(41, row("a", one.address)))
+            while w.node._discovery._version != 41:
+                await asyncio.sleep(0)
+            config.write_text(json.dumps({"discovery": moved.address}))
+            os.kill(os.getpid(), signal.SIGHUP)
+            new = await moved.watch()
+            assert moved.targets == ["/v1/endpoints?watch=1&from=41"]
+            tell(old, listing(42, row("b", two.address), reset=False))
+            while w.node._discovery._version != 42:
+                await asyncio.sleep(0)
+            assert w.node._discovery._watch is not w.node._discovery._successor is not None
+            tell(new, listing(43, row("a", one.address, "DRAINING"), reset=False))
+            while w.node._discovery._version != 43:
+                await asyncio.sleep(0)
+            await asyncio.wait_for(w.discovery.left.wait(), PATIENCE_S)
+            caller = await w.caller()
+            assert {(await caller.ask("look")).body for _ in range(5)} == {b"b"}
+            assert len(w.discovery.targets) == 1, "the old address was asked again"
+
+    run(main())
+
+
+def test_a_new_address_that_fails_leaves_the_old_watch_and_is_tried_again(tmp_path: Path) -> None:
+    async def main() -> None:
+        config = tmp_path / "config.json"
+        async with (
+            StubServer([reply("200 OK", b"a")]) as server,
+            StubDiscovery() as moved,
+            world(row("a", server.address), path=str(config)) as w,
+        ):
+            events = _record(w.node._balancer)
+            old = await w.discovery.watch()
+            tell(old, listing(41, row("a", server.address)))
+            config.write_text(json.dumps({"discovery": moved.address}))
+            while w.node._discovery._version != 41:
+                await asyncio.sleep(0)
+            w.node.reload()
+            (await moved.watch()).transport.abort()
+            new = await moved.watch()
+            old.close()  # as the old discovery does some time after
+            tell(new, listing(42, reset=False))
+            while w.node._discovery._version != 42:
+                await asyncio.sleep(0)
+            assert not [e for e in events if isinstance(e, ServerList) and e.kind is ListKind.FAILED]
+
+    run(main())
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", '{"discovery": "nowhere"}', '{"discovery": 5}', "{}"])
+def test_a_configuration_that_cannot_be_read_at_sighup_keeps_the_old_one(
+    tmp_path: Path, text: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def main() -> None:
+        config = tmp_path / "config.json"
+        config.write_text(text)
+        async with (
+            StubServer([reply("200 OK")]) as server,
+            world(row("a", server.address), path=str(config)) as w,
+        ):
+            watch = await w.discovery.watch()
+            w.node.reload()
+            assert "kept the old configuration" in caplog.text
+            tell(watch, listing(41, row("a", server.address)))
+            assert (await (await w.caller()).ask("look")).status == 200
+
+    run(main())
+
+
 @pytest.mark.parametrize(
     ("bad", "status"),
     [
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -38,7 +38,7 @@
     )
 
 
-def test_run_serves_a_request_and_ends_with_0_on_sigterm(tmp_path: Path) -> None:
+def test_run_serves_a_request_follows_sighup_and_ends_with_0_on_sigterm(tmp_path: Path) -> None:
     async def main() -> None:
         async with StubServer([reply("200 OK", b"served")]) as server, StubDiscovery() as discovery:
             config = tmp_path / "config.json"
@@ -64,6 +64,12 @@
             caller = await Caller.connect((found[1], int(found[2])))
             assert (await caller.ask(target="/ready")).status == 200
             assert (await caller.ask("look")).body == b"served"
+            async with StubDiscovery() as moved:
+                await discovery.watch()
+                config.write_text(json.dumps({**raw, "discovery": moved.address}))
+                process.send_signal(signal.SIGHUP)
+                await moved.watch()
+                assert (await caller.ask("look")).body == b"served"
             process.send_signal(signal.SIGTERM)
             _, log = await asyncio.wait_for(process.communicate(), PATIENCE_S)
             assert process.returncode == 0, log.decode()
