Callers by behaviour, answers one at a time, nobody remembered for ever

By failing tests: surplus behind an answer could answer the next call; a server that drained while its connection came up still got the request. Ruled out: uvloop's accept (a flood of 300 at a limit of 64 descriptors keeps it serving), both length headers (the parser refuses them).

--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -66,6 +66,7 @@
 
 # Server health, always against peers.
 FAIL_STEP = 0.3  # two failures in a row cross FAIL_EJECT, one never does
+SPOILT_STEP = 0.14  # any server spoils an answer now and then: four in a row cross it, three never do
 FAIL_EJECT = 0.45
 FAIL_VS_PEERS = 2.0  # and it must fail at twice the peers' rate, so that a shared cause ejects nobody
 EJECT_MOST = 0.34  # part of the fleet that may be out at once
@@ -446,7 +447,8 @@
                 if self._now >= self._ask_at:  # else a later call has been planned instead
                     self._ask_for_list()
             elif kind == _RETURN and isinstance(subject, bytes):
-                self._try_return(self._servers[subject])
+                if subject in self._servers:  # else it has gone meanwhile
+                    self._try_return(self._servers[subject])
             elif isinstance(subject, int):
                 request = self._requests.get(subject)
                 if request is None:
@@ -481,6 +483,8 @@
                     server.listed = False
         for entry in event.entries:
             self._take_entry(entry)
+        # What has gone and holds no call is forgotten: over a long day new ids come without end.
+        self._servers = {name: s for name, s in self._servers.items() if s.listed or s.out}
         weights = {
             name: max(s.entry.capacity_hint, 1e-3) if self.settings.capacity_hints else 1.0
             for name, s in self._servers.items()
@@ -870,7 +874,8 @@
         mean = self._class_patience[request.class_index].mean
         costs = risky or outcome is Outcome.FULL  # an attempt that no server saw costs nothing to repeat
         if (
-            len(request.attempts) < self.settings.max_attempts
+            outcome is not Outcome.REJECTED
+            and len(request.attempts) < self.settings.max_attempts
             and left > max(mean, 2 * self.settings.tick_ms)
             and (not costs or self._retry_tokens >= 1.0)
             and any(self._permitted(request, s) for s in self._arms)
@@ -913,12 +918,14 @@
             server.rest_until = self._now + FULL_PAUSE * self._aim
             self.automaton.charge(name, elapsed)
             self._feel(1.0)
-        elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
-            if outcome is Outcome.ERROR:
+        elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.SPOILT):
+            if outcome in (Outcome.ERROR, Outcome.SPOILT):
                 server.heard = self._now
             self.automaton.charge(name, elapsed)
             if current:
                 self._failed(server, outcome)
+        elif outcome is Outcome.REJECTED:
+            server.heard = self._now  # the request is at fault, and neither the server nor the load
         elif outcome in (Outcome.TIMEOUT, Outcome.CANCELLED):
             # What was given up took at least this long: leaving it out would shorten patience for the next.
             if request is None:
@@ -950,7 +957,8 @@
 
     def _failed(self, server: Server, outcome: Outcome) -> None:
         """Outlier ejection: against peers, at most a part of the fleet, longer each time."""
-        server.fail += FAIL_STEP * (1.0 - server.fail)
+        step = SPOILT_STEP if outcome is Outcome.SPOILT else FAIL_STEP
+        server.fail += step * (1.0 - server.fail)
         if server.ejected:
             return
         peers = [s for s in self._arms if s is not server]
--- a/fawngw/interface.py
+++ b/fawngw/interface.py
@@ -72,6 +72,8 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
+    SPOILT = "spoilt"  # what came back was no answer: it may have run, and says little of its server
+    REJECTED = "rejected"  # the server found fault with the request itself: sending it again is of no use
 
 
 # These outcomes prove that the attempt never ran.
--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 import time
 from collections import deque
 from collections.abc import Callable
@@ -20,6 +21,7 @@
     REQUEST_ID,
     RETRY,
     TENANT,
+    TOKEN,
     Message,
     MessageError,
     Reader,
@@ -28,13 +30,27 @@
 
 log = logging.getLogger(__name__)
 
-MOST_PIPELINED = 2  # requests that a connection may have open; beyond that it is read no further
+MOST_PIPELINED = 16  # requests that a connection may have open; usual callers have one
+PACE_PIPELINED = 2  # with as many open it is read no further: what comes then waits in the network
 LONGEST_DEADLINE_S = 3600.0
 HINT_MOST_US = 1e9
-STALLED_S = 30.0  # for a request to come in whole, or a caller to read its answer
-SWEEP_S = 1.0
-LINGER_S = 1.0  # after an early answer what still comes in is read away, else a reset could overtake it
+SWEEP_S = 0.25
+# A usual caller connects because it has a request.  One that has not sent a whole one by now is answered or
+# closed: with the sweep's and the network's time that is within the 3 s that it is owed.
+FIRST_S = 2.25
+REQUEST_S = 10.0  # for a later request to come in whole
+UNREAD_S = 10.0  # for a caller to read its answer
+# Between requests: a caller that asked for nothing that servers do is closed as soon as the protocol lets us,
+# as such connections are kept for good; one of a usual caller's is worth a handshake.
+IDLE_ONCE_S = 2.25
+IDLE_S = 60.0
+STUCK_S = 0.5  # when there is no room, a request that has not come in whole by now makes way
+LINGER_S = 0.5  # after an early answer the caller may read it: closing on its unread input resets at once
+IGNORED_MOST = 256 * 1024
 FULL_RETRY_S = 0.5
+OVERFLOW_PART = 0.1  # of the limit: newcomers that are answered 503 where nobody can make way
+
+_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")  # float() takes far more than the protocol has
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,12 +95,16 @@
 
     def __init__(self, callers: Callers) -> None:
         self.callers = callers
-        self.since = 0.0  # when it last became idle, began a request or stopped reading
+        self.since = 0.0  # when it was opened, last became idle, or stopped reading
+        self._answered = False
+        self._usual = False  # it has brought a request that was taken
         self._reader = Reader(self._on_request, requests=True)
         self._transport: asyncio.Transport | None = None
         self._exchanges: deque[Exchange] = deque()
-        self._deaf = False  # it has had its last answer; input is read away
+        self._deaf = False  # its last request has come: what follows is not read
+        self._over = False  # it has had its last answer
         self._choked = False  # the caller does not read what it gets
+        self._ignored = 0  # bytes read away
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
@@ -93,7 +113,7 @@
 
     def idle(self) -> bool:
         """Between requests: may be closed, as the caller sends a crossing request anew."""
-        return not self._exchanges and not self._reader.within and not self._deaf
+        return not self._exchanges and not self._reader.within and not self._over
 
     def is_last(self, exchange: Exchange) -> bool:
         return bool(self._exchanges) and self._exchanges[-1] is exchange
@@ -101,15 +121,51 @@
     def owes(self) -> bool:
         """Whether an answer, or a part of one, is still to be sent, or a request is coming in."""
         unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
-        return unsent or bool(self._exchanges) or (self._reader.within and not self._deaf)
+        return unsent or bool(self._exchanges) or (self._reader.within and not self._over)
+
+    def may_go(self, now: float) -> tuple[int, float] | None:
+        """How readily this makes way for a newcomer, the least first; None if it must not.
+
+        Guards against usual callers being refused while the table is full of connections of no use.  Those
+        that never brought a request go before usual callers: a crowd of them is no reason to make a usual one
+        open a new connection.
+        """
+        if self._over:
+            return (0, self.since)
+        if self.idle():
+            return (2 if self._usual else 1, self.since)
+        if self._reader.within and not self._exchanges and now - self.since > STUCK_S:
+            return (3, self.since)
+        return None
 
-    def stalled(self) -> bool:
-        return self._choked or (self._reader.within and not self._exchanges)
+    def make_way(self) -> None:
+        """Close: at once where the last answer is out, else when what was written has been sent."""
+        if self._over:
+            self.drop()
+        else:
+            self.close()
+
+    def check(self, now: float) -> None:
+        """End what has been waited for long enough."""
+        waited = now - self.since
+        if self._choked or self._over:
+            if waited > UNREAD_S:
+                self.drop()
+        elif self._exchanges:
+            return
+        elif self._reader.within:
+            if waited > (REQUEST_S if self._usual else FIRST_S):
+                self._answer_early(408)
+        elif waited > (IDLE_S if self._usual else IDLE_ONCE_S):
+            self.close()
 
     def data_received(self, data: bytes) -> None:
         if self._deaf:
+            # Reading on tells when the caller leaves; but nobody is worth reading megabytes away for.
+            self._ignored += len(data)
+            self._pace()
             return
-        if not self._reader.within:
+        if self._answered and self.idle():
             self.since = self.callers.now()
         try:
             self._reader.feed(data)
@@ -118,22 +174,30 @@
         except Exception:
             log.exception("fault while a request was taken")
             self._answer_early(500)
+        self._pace()
 
     def _on_request(self, message: Message) -> None:
         exchange = Exchange(self, not message.keep_alive)
         self._exchanges.append(exchange)
-        self._pace()
+        if exchange.close:
+            self._stop_reading()
         try:
-            self.callers.route(message, exchange)
+            if len(self._exchanges) > MOST_PIPELINED:
+                raise MessageError(400, "too many requests in a row")
+            self._usual |= self.callers.route(message, exchange)
         except MessageError as error:
-            exchange.answer(error.status)
+            self._answer_early(error.status)
         except Exception:
             # A fault in one request must cost that request alone, and still be answered.
             log.exception("fault in a request")
             exchange.answer(500)
 
     def _answer_early(self, status: int) -> None:
-        """Answer what never became a request, then close."""
+        """Answer what cannot be taken at once, whatever waits on this connection, then close."""
+        self._stop_reading()
+        if self._over:
+            return
+        self._leave()
         exchange = Exchange(self, True)
         self._exchanges.append(exchange)
         exchange.answer(status)
@@ -146,15 +210,22 @@
             assert exchange.output is not None
             transport.write(exchange.output)
             self.since = self.callers.now()
+            self._answered = True
             if exchange.close:
                 self._end()
                 return
         self._pace()
 
+    def _stop_reading(self) -> None:
+        """No further request is taken: neither from what is being parsed nor from what comes."""
+        self._deaf = True
+        self._reader.stop()
+
     def _end(self) -> None:
         """Close after the last answer, once the caller has had the time to read it."""
         assert self._transport is not None
-        self._deaf = True
+        self._over = True
+        self._stop_reading()
         self._leave()
         if self._transport.can_write_eof():
             self._transport.write_eof()
@@ -165,6 +236,7 @@
             self._transport.abort()
 
     def close(self) -> None:
+        self._over = True
         if self._transport is not None:
             self._transport.close()
 
@@ -197,7 +269,7 @@
         """Read only as long as answers have somewhere to go: bounds what one caller can make us hold."""
         if self._transport is None or self._transport.is_closing():
             return
-        if self._choked or len(self._exchanges) >= MOST_PIPELINED:
+        if self._choked or self._ignored > IGNORED_MOST or len(self._exchanges) >= PACE_PIPELINED:
             self._transport.pause_reading()
         elif not self._transport.is_reading():
             self._transport.resume_reading()
@@ -249,8 +321,8 @@
     def opened(self, connection: CallerConnection) -> None:
         self._open.add(connection)
         self.last_heard = self.now()
-        if len(self._open) > self._most:
-            self._shed_one(connection)
+        if len(self._open) > self._most and not self._shed_one(connection) and self._overflows():
+            connection.drop()
 
     def closed(self, connection: CallerConnection) -> None:
         self._open.discard(connection)
@@ -264,16 +336,26 @@
         self._bytes -= exchange.size
         exchange.size = 0
 
-    def _shed_one(self, newest: CallerConnection) -> None:
-        idle = [c for c in self._open if c is not newest and c.idle()]
-        if idle:
-            min(idle, key=lambda c: c.since).close()
+    def _overflows(self) -> bool:
+        """Beyond this a newcomer is closed unheard: descriptors must not run out."""
+        return len(self._open) > self._most * (1.0 + OVERFLOW_PART)
+
+    def _shed_one(self, newest: CallerConnection) -> bool:
+        """Close the connection that makes way most readily, if there is one."""
+        now = self.now()
+        ranks = [(rank, c) for c in self._open if c is not newest and (rank := c.may_go(now)) is not None]
+        if not ranks:
+            return False
+        _, connection = min(ranks, key=lambda pair: pair[0])
+        self._open.discard(connection)
+        connection.make_way()
+        return True
 
     def _sweep(self) -> None:
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
-        before = self.now() - STALLED_S
-        for connection in [c for c in self._open if c.stalled() and c.since < before]:
-            connection.drop()
+        now = self.now()
+        for connection in list(self._open):
+            connection.check(now)
 
     def wind_down(self) -> None:
         """From now on every answer closes its connection, and idle ones are closed at once."""
@@ -294,25 +376,27 @@
 
     # Requests.
 
-    def route(self, message: Message, exchange: Exchange) -> None:
-        """Take one whole request; MessageError if it is none that a node serves."""
+    def route(self, message: Message, exchange: Exchange) -> bool:
+        """Take one whole request and tell whether it is one for the servers; MessageError if it is none that
+        a node serves."""
         self.last_heard = self.now()
         path = message.start.partition(b"?")[0]
         if path == b"/ready":
             if message.method != b"GET":
                 raise MessageError(400, "method")
             exchange.answer(200 if self._ready() and not self.closing else 503)
-        elif path == b"/api" or path.startswith(b"/api/"):
-            ask = self._ask(message, path)
-            if self.crowded() or self._bytes + len(message.body) > self._most_bytes:
-                exchange.close = True
-                exchange.answer(503, extra=b"Retry-After: %.3f\r\n" % FULL_RETRY_S)
-            else:
-                exchange.size = len(message.body)
-                self._bytes += exchange.size
-                self._take(ask, exchange)
-        else:
+            return False
+        if path != b"/api" and not path.startswith(b"/api/"):
             raise MessageError(404, "path")
+        ask = self._ask(message, path)
+        if self.crowded() or self._bytes + len(message.body) > self._most_bytes:
+            exchange.close = True
+            exchange.answer(503, extra=b"Retry-After: %.3f\r\n" % FULL_RETRY_S)
+            return True
+        exchange.size = len(message.body)
+        self._bytes += exchange.size
+        self._take(ask, exchange)
+        return True
 
     def _ask(self, message: Message, path: bytes) -> Ask:
         headers = message.headers
@@ -320,6 +404,8 @@
         for name in required:
             if not headers.get(name) or name in message.repeated:
                 raise MessageError(400, f"{name.decode()} is missing or repeated")
+        if not TOKEN.fullmatch(headers[REQUEST_ID]):
+            raise MessageError(400, "bad id")
         class_index = self._classes.get(headers[CLASS])
         tenant = self._tenants.get(headers[TENANT]) if self._tenants else 0
         if class_index is None or tenant is None:
@@ -347,6 +433,7 @@
             or keyed != (effect is Effect.KEYED)
             or (safe and message.body)
             or IDEMPOTENCY_KEY in message.repeated
+            or (keyed and not TOKEN.fullmatch(message.headers[IDEMPOTENCY_KEY]))
         ):
             raise MessageError(400, "method or key does not fit the class")
 
@@ -360,10 +447,7 @@
 
 
 def _number(text: bytes, what: str, most: float) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        value = -1.0
-    if not 0.0 < value <= most or value == float("inf"):
+    value = float(text) if _DECIMAL.fullmatch(text) else 0.0
+    if not 0.0 < value <= most:
         raise MessageError(400, f"bad {what}")
     return value
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -11,7 +11,7 @@
 import signal
 import time
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from fawngw.decide import Balancer
 from fawngw.interface import (
@@ -27,10 +27,12 @@
     Outcome,
     Probe,
     ProbeEnded,
+    Readiness,
     Refuse,
     RequestGone,
     RequestId,
     Send,
+    ServerEntry,
     ServerId,
     ServerList,
     SetTimer,
@@ -40,7 +42,7 @@
 from fawngw.node.callers import Ask, Callers, Exchange
 from fawngw.node.config import Config, ConfigError, discovery_anew
 from fawngw.node.discovery import Discovery, Listing
-from fawngw.node.http import CONTENT_TYPE, Message, request_head
+from fawngw.node.http import CONTENT_TYPE, REQUEST_ID, Message, MessageError, request_head
 from fawngw.node.servers import Call, Servers
 
 log = logging.getLogger(__name__)
@@ -59,6 +61,10 @@
 QUIET_S = 0.6  # after SIGTERM: new connections come for up to 0.4 s
 SILENT_S = 0.25  # and none may have come for this long
 LAST_S = 3.4  # all is answered by then: SIGKILL comes 3.7 s after SIGTERM at the earliest
+# Where this is the only node that callers have, nobody is served until it is back.  By Little's law what ends
+# in a second of waiting is less than what a second of service would take in; most calls end within one, and
+# the rest is failed.
+LAST_ALONE_S = 1.0
 DRAIN_CHECK_S = 0.02
 
 
@@ -83,7 +89,6 @@
     timer: asyncio.TimerHandle
     head: bytes
     attempts: int = 0
-    calls: dict[int, Call] = field(default_factory=dict)  # those that are out
 
 
 class Node:
@@ -100,9 +105,11 @@
         self._requests: dict[RequestId, Pending] = {}
         self._calls: dict[tuple[RequestId, int], Call] = {}  # also those of finished requests
         self._struck: dict[RequestId, Pending] = {}  # finished, and the module may not know yet
+        self._held: dict[bytes, int] = {}  # callers' ids: open requests and attempts that are out
         self._last_id = 0
         self._host = b"%s:%d" % (config.listen[0].encode(), config.listen[1])
         self._terminated_at: float | None = None
+        self._last_s = LAST_ALONE_S if settings.balancers == 1 else LAST_S
         self._done = asyncio.Event()
         sockets = config.limits.sockets
         self._servers = Servers(
@@ -122,7 +129,7 @@
             config.naming,
             pushed=not settings.ask_for_list,
             call_s=CALL_PART * settings.must_ask_ms / 1000.0,
-            on_list=self._on_list,
+            on_list=self._follow,
             on_failed=lambda: self._post(ServerList(ListKind.FAILED)),
         )
 
@@ -133,8 +140,7 @@
         self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         known = self._config.known
         if known is not None:
-            self._servers.update(known)
-            self._post(known.event(cached=True))
+            self._follow(known, cached=True)
         self._discovery.start(known.version if known is not None else 0)
         host, port = await self._callers.listen(self._config.listen)
         log.info("node %s listens on %s:%d", self._config.name, host, port)
@@ -215,12 +221,17 @@
 
     def _take(self, ask: Ask, exchange: Exchange) -> None:
         """A valid request of a caller's: from here on it is owed one answer."""
+        name = ask.message.headers[REQUEST_ID]
+        if name in self._held:
+            # A server could not tell the two apart, and what it has of one would count for the other.
+            raise MessageError(409, "a request with this id is open")
+        self._held[name] = 1
         now = self._clock.now()
         self._last_id += 1
         request = self._last_id
         budget = ask.budget_ms
         if self._terminated_at is not None:
-            budget = min(budget, 1000.0 * (self._terminated_at + LAST_S - time.monotonic()))
+            budget = min(budget, 1000.0 * (self._terminated_at + self._last_s - time.monotonic()))
         budget = max(1.0, budget - min(RESERVE_MS, RESERVE_MOST * budget))
         self._requests[request] = Pending(
             ask.message,
@@ -248,10 +259,17 @@
         if pending is not None:
             pending.timer.cancel()
             pending.exchange.on_gone = None
+            self._let_go(pending.message.headers[REQUEST_ID])
             if self._handling:
                 self._struck[request] = pending
         return pending
 
+    def _let_go(self, name: bytes) -> None:
+        """An id is free again when its request is answered and none of its attempts is out any more."""
+        self._held[name] -= 1
+        if not self._held[name]:
+            del self._held[name]
+
     def _finish(self, request: RequestId, status: int, body: bytes = b"", extra: bytes = b"") -> None:
         pending = self._close(request)
         if pending is not None:
@@ -291,13 +309,16 @@
         timeout = min(action.timeout_ms, left) if action.timeout_ms > 0 else left
         sent = self._clock.now()
         head, body = pending.head, pending.message.body
+        name = pending.message.headers[REQUEST_ID]
 
         def render(seconds: float) -> bytes:
             return b"%sX-Deadline: %.3f\r\n\r\n%s" % (head, seconds, body)
 
         def done(outcome: Outcome, answer: Message | None) -> None:
+            self._let_go(name)
             self._ended(request, number, server, sent, outcome, answer)
 
+        self._held[name] += 1
         self._calls[request, number] = self._servers.call(server, render, timeout / 1000.0, done)
 
     def _ended(
@@ -328,9 +349,12 @@
 
     # ------------------------------------------------------------ the list
 
-    def _on_list(self, listing: Listing) -> None:
-        self._servers.update(listing)
-        self._post(listing.event())
+    def _follow(self, listing: Listing, *, cached: bool = False) -> None:
+        replaced = self._servers.update(listing)
+        self._post(listing.event(cached=cached))
+        if replaced:
+            gone = tuple(ServerEntry(server, Readiness.GONE) for server in replaced)
+            self._post(ServerList(ListKind.CHANGES, gone, listing.version))
 
     def reload(self) -> None:
         """SIGHUP: the configuration file was replaced; discovery may have moved."""
@@ -351,7 +375,7 @@
         log.info("terminating, %d requests open", len(self._requests))
         self._terminated_at = time.monotonic()
         self._callers.wind_down()
-        self._loop.call_later(LAST_S, self._fail_rest)
+        self._loop.call_later(self._last_s, self._fail_rest)
         self._loop.call_later(QUIET_S, self._end_when_quiet)
 
     def _fail_rest(self) -> None:
@@ -363,7 +387,7 @@
         assert self._terminated_at is not None
         now = time.monotonic()
         quiet = not self._callers.busy() and now - self._callers.last_heard >= SILENT_S
-        if quiet or now - self._terminated_at > LAST_S + SILENT_S:
+        if quiet or now - self._terminated_at > self._last_s + SILENT_S:
             self.stop()
         else:
             self._loop.call_later(DRAIN_CHECK_S, self._end_when_quiet)
--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import select
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import cast
@@ -20,6 +21,9 @@
 
 IDLE_PART = 0.5  # of the time after which servers close: a request must never cross that close
 SWEEP_S = 1.0
+# Surplus that a server sends right behind an answer is there within a round trip, and is not to be taken for
+# the next answer: this is some ten round trips within a hall.
+REST_S = 0.005
 
 Done = Callable[[Outcome, Message | None], None]
 Render = Callable[[float], bytes]
@@ -68,6 +72,7 @@
         self.idle_since = 0.0
         self._servers = servers
         self._call: Call | None = None
+        self._answer: Message | None = None
         self._reader = Reader(self._on_answer, requests=False)
         self._transport: asyncio.Transport | None = None
 
@@ -78,6 +83,15 @@
     def usable(self) -> bool:
         return self._transport is not None and not self._transport.is_closing()
 
+    def quiet(self) -> bool:
+        """Whether nothing has come in that was not read yet: neither surplus bytes nor the server's close."""
+        if not self.usable():
+            return False
+        assert self._transport is not None
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     def carry(self, call: Call) -> None:
         """Write the call's request; from here on it may have run."""
         assert self._transport is not None
@@ -100,32 +114,39 @@
             self._reader.feed(data)
         except MessageError as error:
             log.warning("server %s: %s", self.peer.name, error)
-            self._break()
+            self._break(Outcome.SPOILT)
+            return
+        if self._answer is not None:
+            self._finish(self._answer)
 
     def eof_received(self) -> bool:
-        self._reader.finish()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._servers.closed(self)
         self._break()
 
-    def _break(self) -> None:
+    def _break(self, outcome: Outcome = Outcome.RESET) -> None:
         call = self._call
         self.abandon()
         if call is not None:
-            call.end(Outcome.RESET)
+            call.end(outcome)
 
     def _on_answer(self, message: Message) -> None:
-        call, self._call = self._call, None
-        if call is None:
-            self.abandon()
-            return
-        if message.keep_alive and self.usable():
+        """The first whole message is the answer; the parser may still be inside the same piece of input."""
+        self._reader.stop()
+        self._answer = message
+
+    def _finish(self, answer: Message) -> None:
+        """Hand on the answer.  A connection that brought more than that must not meet another request."""
+        call, self._call, self._answer = self._call, None, None
+        if answer.keep_alive and self.usable() and not self._reader.surplus:
+            self._reader.resume()
             self._servers.rest(self)
         else:
             self.abandon()
-        call.end(_outcome(message), message)
+        if call is not None:
+            call.end(_outcome(answer), answer)
 
 
 def _outcome(message: Message) -> Outcome:
@@ -133,6 +154,8 @@
         return Outcome.OK
     if message.status in (503, 504) and message.headers.get(NOT_RUN) == b"1":
         return Outcome.FULL
+    if 400 <= message.status < 500:
+        return Outcome.REJECTED
     return Outcome.ERROR
 
 
@@ -162,22 +185,39 @@
 
     # What the list says.
 
-    def update(self, listing: Listing) -> None:
-        """Follow the list: with another address or start time old connections lead to a dead process."""
+    def update(self, listing: Listing) -> list[ServerId]:
+        """Follow the list: with another address or start time old connections lead to a dead process.
+
+        Returns the servers whose address is another's now.  What is sent there by the old name would meet
+        the new server, which is cold.
+        """
         if listing.whole:
             for server in self._peers.keys() - {entry.server for entry in listing.entries}:
                 self._drop(server)
+        replaced: list[ServerId] = []
         for entry in listing.entries:
             if entry.readiness is not Readiness.READY:
                 self._drop(entry.server)
                 continue
-            peer = self._peers.get(entry.server)
             address = listing.addresses[entry.server]
+            rival = self._at(address, entry.server)
+            if rival is not None:
+                older = entry.server if self._peers[rival].started_ms > entry.started_ms else rival
+                self._drop(older)
+                replaced.append(older)
+                if older == entry.server:
+                    continue
+            peer = self._peers.get(entry.server)
             if peer is None or peer.address != address or peer.started_ms != entry.started_ms:
                 self._drop(entry.server)
                 self._peers[entry.server] = Peer(
                     entry.server.decode(errors="replace"), address, entry.started_ms
                 )
+        return replaced
+
+    def _at(self, address: tuple[str, int], other_than: ServerId) -> ServerId | None:
+        found = (s for s, peer in self._peers.items() if peer.address == address and s != other_than)
+        return next(found, None)
 
     def _drop(self, server: ServerId) -> None:
         peer = self._peers.pop(server, None)
@@ -197,11 +237,10 @@
         if peer is None:
             self._loop.call_soon(call.end, Outcome.CONNECT_FAILED)
             return call
-        while peer.idle:
-            connection = peer.idle.pop()
-            if connection.usable():
-                connection.carry(call)
-                return call
+        connection = self._rested(peer)
+        if connection is not None:
+            connection.carry(call)
+            return call
         if not self._room():
             log.warning("no descriptor left for a connection to %s", peer.name)
             self._loop.call_soon(call.end, Outcome.CONNECT_FAILED)
@@ -221,11 +260,27 @@
             return
         if call.ended:
             self.rest(connection)
+        elif not peer.current:
+            # Drained, gone or restarted meanwhile: what was decided for it is not to reach it any more.
+            connection.abandon()
+            call.end(Outcome.MOOT)
         elif connection.usable():
             connection.carry(call)
         else:
             call.end(Outcome.CONNECT_FAILED)
 
+    def _rested(self, peer: Peer) -> Connection | None:
+        """The idle connection used last among those that have been quiet for a while after their answer."""
+        before = self._loop.time() - REST_S
+        for i in range(len(peer.idle) - 1, -1, -1):
+            connection = peer.idle[i]
+            if connection.idle_since <= before:
+                del peer.idle[i]
+                if connection.quiet():
+                    return connection
+                connection.abandon()
+        return None
+
     # Connections.
 
     def opened(self, connection: Connection) -> None:
