A server that turns calls away rests longer each time and is no strain by itself; the extra drain of an only node is out

Only now more than a third of the fleet turning calls away is strain. A last answer is no longer cut off for a slow reader.

--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -79,7 +79,8 @@
 EJECT_AIMS = 4.0
 EJECT_FIRST = 0.2  # first time out, as a part of that; doubles up to EJECT_LONGEST
 EJECT_LONGEST = 1.0
-FULL_PAUSE = 0.02  # a server that was full rests for this part of the aim
+FULL_PAUSE = 0.02  # a server that was full rests for this part of the aim, twice as long each time until it
+FULL_DOUBLINGS = 5  # answers again: one that drains turns calls away for seconds before the list tells
 LATE_REST = 2.0  # one that gave no other answer during a call that ends late rests this many times as long
 
 # A server that turned a call away gets fewer at once; the ceiling rises by this much for each full turn.
@@ -339,6 +340,7 @@
     trial: bool = False
     strikes: int = 0
     rest_until: float = -math.inf
+    turned_away: int = 0  # calls, since it last served one
     ceiling: float = math.inf  # calls of ours that it is known to bear, once it has turned one away
     tokens: float = 0.0  # cold budget, in calls of mean work
     tokens_at: float = 0.0
@@ -928,6 +930,7 @@
         current = attempt.entry.started_ms == server.entry.started_ms
         if outcome is Outcome.OK:
             server.heard = self._now
+            server.turned_away = 0
             server.ceiling += CEILING_UP / server.ceiling
             self._patience.observe(elapsed)
             aim = self._aim
@@ -947,9 +950,14 @@
             # dead.  Without a ceiling thousands of calls a second bounced off such servers, at the cost of
             # a handshake each, and the ejection of full servers pushed over the rest.
             server.ceiling = max(1.0, CEILING_DOWN * min(server.ceiling, len(server.out)))
-            server.rest_until = self._now + FULL_PAUSE * self._aim
+            pause = FULL_PAUSE * 2.0 ** min(server.turned_away, FULL_DOUBLINGS)
+            server.rest_until = self._now + pause * self._aim
+            server.turned_away += 1
             self.automaton.charge(name, elapsed)
-            self._feel(1.0)
+            # It is the fleet that is strained only when more turn calls away than could be left out. Servers
+            # that drain in turn were taken for strain: the front cut its limit and refused half for 3 s.
+            if sum(1 for s in self._arms if s.turned_away) > EJECT_MOST * len(self._arms):
+                self._feel(1.0)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.SPOILT):
             if outcome in (Outcome.ERROR, Outcome.SPOILT):
                 server.heard = self._now
--- a/fawngw/node/callers.py
+++ b/fawngw/node/callers.py
@@ -120,8 +120,7 @@
 
     def owes(self) -> bool:
         """Whether an answer, or a part of one, is still to be sent, or a request is coming in."""
-        unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
-        return unsent or bool(self._exchanges) or (self._reader.within and not self._over)
+        return self._unsent() or bool(self._exchanges) or (self._reader.within and not self._over)
 
     def may_go(self, now: float) -> tuple[int, float] | None:
         """How readily this makes way for a newcomer, the least first; None if it must not.
@@ -131,7 +130,7 @@
         open a new connection.
         """
         if self._over:
-            return (0, self.since)
+            return None if self._unsent() else (0, self.since)
         if self.idle():
             return (2 if self._usual else 1, self.since)
         if self._reader.within and not self._exchanges and now - self.since > STUCK_S:
@@ -229,7 +228,20 @@
         self._leave()
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER_S, self.drop)
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close in a while, or wait on if the answer has not left by then: to abort would cut it off."""
+        asyncio.get_running_loop().call_later(LINGER_S, self._linger_on)
+
+    def _linger_on(self) -> None:
+        if self._unsent():
+            self._linger()
+        else:
+            self.drop()
+
+    def _unsent(self) -> bool:
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
 
     def drop(self) -> None:
         if self._transport is not None:
@@ -287,7 +299,6 @@
         most_bytes: int,
     ) -> None:
         self.closing = False
-        self._retired = False
         self.last_heard = 0.0  # when a connection or a request last came
         self._settings = settings
         self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
@@ -358,13 +369,9 @@
         for connection in list(self._open):
             connection.check(now)
 
-    def retire(self) -> None:
-        """From now on not ready for new callers; those that are connected are still served."""
-        self._retired = True
-
     def wind_down(self) -> None:
         """From now on every answer closes its connection, and idle ones are closed at once."""
-        self._retired = self.closing = True
+        self.closing = True
         for connection in [c for c in self._open if c.idle()]:
             connection.close()
 
@@ -389,7 +396,7 @@
         if path == b"/ready":
             if message.method != b"GET":
                 raise MessageError(400, "method")
-            exchange.answer(200 if self._ready() and not self._retired else 503)
+            exchange.answer(200 if self._ready() and not self.closing else 503)
             return False
         if path != b"/api" and not path.startswith(b"/api/"):
             raise MessageError(404, "path")
--- a/fawngw/node/node.py
+++ b/fawngw/node/node.py
@@ -61,9 +61,6 @@
 QUIET_S = 0.6  # after SIGTERM: new connections come for up to 0.4 s
 SILENT_S = 0.25  # and none may have come for this long
 LAST_S = 3.4  # all is answered by then: SIGKILL comes 3.7 s after SIGTERM at the earliest
-# Where this is the only node that callers have, nobody serves them until it is back: those that are connected
-# are served on until now, and in the second that is left most calls end.
-ALONE_S = 2.4
 DRAIN_CHECK_S = 0.02
 
 
@@ -108,8 +105,6 @@
         self._last_id = 0
         self._host = b"%s:%d" % (config.listen[0].encode(), config.listen[1])
         self._terminated_at: float | None = None
-        self._taken_before = 0  # requests, until SIGTERM
-        self._alone = settings.balancers == 1
         self._done = asyncio.Event()
         sockets = config.limits.sockets
         self._servers = Servers(
@@ -153,8 +148,6 @@
     async def wait(self) -> None:
         """Serve until SIGTERM, then until everything taken is answered."""
         await self._done.wait()
-        if self._terminated_at is not None:
-            log.info("ends, %d requests were taken since SIGTERM", self._last_id - self._taken_before)
         self._discovery.close()
         self._callers.close()
         self._servers.close()
@@ -376,15 +369,7 @@
             return
         log.info("terminating, %d requests open", len(self._requests))
         self._terminated_at = time.monotonic()
-        self._taken_before = self._last_id
         self._loop.call_later(LAST_S, self._fail_rest)
-        if self._alone:
-            self._callers.retire()
-            self._loop.call_later(ALONE_S, self._wind_down)
-        else:
-            self._wind_down()
-
-    def _wind_down(self) -> None:
         self._callers.wind_down()
         self._loop.call_later(QUIET_S, self._end_when_quiet)
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -491,3 +491,27 @@
     play.step(5000)
     assert Probe(bytes([2])) not in play.log[since:]
     assert bytes([2]) not in play.balancer._servers
+
+
+def test_one_server_that_turns_all_away_is_left_alone_and_is_no_strain() -> None:
+    """Seen with servers that drain before the list tells: the limit was cut and half was refused."""
+    play = make(servers=5)
+    serve(play, 60)
+    before = play.balancer._strain
+    since = len(play.log)
+    serve(play, 120, bad=bytes([2]), how=Outcome.FULL)
+    assert play.balancer._strain <= before + 0.05
+    assert sent_to(play, since).count(bytes([2])) <= 8
+    serve(play, 200)
+    assert bytes([2]) in sent_to(play, len(play.log) - 600), "it never came back"
+
+
+def test_a_fleet_that_turns_calls_away_is_strained() -> None:
+    play = make(servers=5)
+    serve(play, 60)
+    for _ in range(40):
+        request = play.arrive()
+        play.step(10)
+        for number in play.live(request):
+            play.end(request, number, Outcome.FULL)
+    assert play.balancer._strain > 1.0
