--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -21,6 +21,11 @@
 
 IDLE_PART = 0.5  # of the time after which servers close: a request must never cross that close
 SWEEP_S = 1.0
+# Servers may close idle connections sooner than they say, and what crosses that close may have run. One that
+# has closed an idle connection, or reset what came on one, is trusted half as long from then on, and after some
+# time as before. A close right behind an answer says nothing: it is seen before the next call.
+TRUST_LEAST_S = 0.05
+TRUST_BACK = 1.03  # for each sweep
 # Surplus that a server sends right behind an answer is there within a round trip, and is not to be taken for
 # the next answer: this is some ten round trips within a hall.
 REST_S = 0.005
@@ -70,6 +75,7 @@
     def __init__(self, peer: Peer, servers: Servers) -> None:
         self.peer = peer
         self.idle_since = 0.0
+        self._rested = 0.0  # seconds that it had been idle when it was used again
         self._servers = servers
         self._call: Call | None = None
         self._answer: Message | None = None
@@ -95,6 +101,7 @@
     def carry(self, call: Call) -> None:
         """Write the call's request; from here on it may have run."""
         assert self._transport is not None
+        self._rested = asyncio.get_running_loop().time() - self.idle_since if self.idle_since else 0.0
         self._call = call
         call.connection = self
         call.written = True
@@ -124,6 +131,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._servers.closed(self)
+        if self._call is not None:
+            self.peer.distrust(self._rested)
         self._break()
 
     def _break(self, outcome: Outcome = Outcome.RESET) -> None:
@@ -166,9 +175,15 @@
     name: str
     address: tuple[str, int]
     started_ms: float
+    trusted_s: float  # how long a connection may have been idle to be used again
     idle: list[Connection] = field(default_factory=list)
     current: bool = True  # False once drained, gone or restarted: its connections are not kept
 
+    def distrust(self, idle_s: float) -> None:
+        """It ended a connection that had been idle so long."""
+        if idle_s >= TRUST_LEAST_S:
+            self.trusted_s = min(self.trusted_s, IDLE_PART * idle_s)
+
 
 class Servers:
     """All servers that the list has named, and every open connection to them."""
@@ -210,9 +225,8 @@
             peer = self._peers.get(entry.server)
             if peer is None or peer.address != address or peer.started_ms != entry.started_ms:
                 self._drop(entry.server)
-                self._peers[entry.server] = Peer(
-                    entry.server.decode(errors="replace"), address, entry.started_ms
-                )
+                name = entry.server.decode(errors="replace")
+                self._peers[entry.server] = Peer(name, address, entry.started_ms, self._idle_s)
         return replaced
 
     def _at(self, address: tuple[str, int], other_than: ServerId) -> ServerId | None:
@@ -271,12 +285,12 @@
 
     def _rested(self, peer: Peer) -> Connection | None:
         """The idle connection used last among those that have been quiet for a while after their answer."""
-        before = self._loop.time() - REST_S
+        now = self._loop.time()
         for i in range(len(peer.idle) - 1, -1, -1):
             connection = peer.idle[i]
-            if connection.idle_since <= before:
+            if now - connection.idle_since >= REST_S:
                 del peer.idle[i]
-                if connection.quiet():
+                if now - connection.idle_since <= peer.trusted_s and connection.quiet():
                     return connection
                 connection.abandon()
         return None
@@ -290,6 +304,7 @@
         self._open.discard(connection)
         if connection in connection.peer.idle:
             connection.peer.idle.remove(connection)
+            connection.peer.distrust(self._loop.time() - connection.idle_since)
 
     def rest(self, connection: Connection) -> None:
         """Keep a connection for the next call, if its server is still the same process."""
@@ -332,5 +347,7 @@
 
     def _sweep(self) -> None:
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
-        before = self._loop.time() - self._idle_s
-        self._shed([c for c in self._idle() if c.idle_since < before])
+        now = self._loop.time()
+        for peer in self._peers.values():
+            peer.trusted_s = min(self._idle_s, TRUST_BACK * peer.trusted_s)
+            self._shed([c for c in peer.idle if now - c.idle_since > peer.trusted_s])
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -261,6 +261,35 @@
     run(main())
 
 
+def test_a_server_that_ends_idle_connections_early_is_not_met_on_older_ones(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A request that crosses the server's close may have run: a booking is lost with it."""
+    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
+    monkeypatch.setattr("fawngw.node.servers.TRUST_LEAST_S", 0.0)
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, attempts(server.address) as a:
+            (peer,) = a.servers._peers.values()
+            told = peer.trusted_s
+            await a.outcome()
+            server.writers[0].close()
+            while a.servers._open:
+                await asyncio.sleep(0)
+            assert peer.trusted_s < told
+            peer.trusted_s = 0.0
+            await a.outcome()
+            while a.servers._loop.time() <= a.servers._idle()[0].idle_since:
+                await asyncio.sleep(0)
+            await a.outcome()
+            assert server.opened == 3, "an older connection than the server keeps was used"
+            peer.trusted_s = told / 2
+            a.servers._sweep()
+            assert told / 2 < peer.trusted_s < told, "it is trusted again in time"
+
+    run(main())
+
+
 def test_close_idle_leaves_calls_alone() -> None:
     async def main() -> None:
         behaviours = [reply("200 OK"), silent]
