--- a/fawngw/node/discovery.py
+++ b/fawngw/node/discovery.py
@@ -204,6 +204,7 @@
         self._on_failed = on_failed
         self._loop = asyncio.get_running_loop()
         self._version = 0
+        self._wanted = False  # a list has been asked for
         self._watch: _Watch | None = None
         self._successor: _Watch | None = None  # at the address that discovery moved to, until it speaks
         self._timer: asyncio.TimerHandle | None = None
@@ -217,6 +218,7 @@
     def subscribe(self) -> None:
         """Watch from the last version on; replaces a watch that is still there."""
         self.close()
+        self._wanted = True
         self._watch = self._begin()
 
     def move(self, address: tuple[str, int]) -> None:
@@ -227,9 +229,9 @@
         if self._successor is not None:
             self._successor.close()
             self._successor = None
-        if self._watch is not None:
+        if self._wanted:
+            # Also where the last call failed: the pause after that was for the old address.
             self._succeed()
-        # Else nobody has asked, or the next call is planned already: it will go to the new address.
 
     def close(self) -> None:
         """Drop the watch without a word."""
--- a/fawngw/node/servers.py
+++ b/fawngw/node/servers.py
@@ -22,8 +22,8 @@
 IDLE_PART = 0.5  # of the time after which servers close: a request must never cross that close
 SWEEP_S = 1.0
 # Servers may close idle connections sooner than they say, and what crosses that close may have run. One that
-# has closed an idle connection, or reset what came on one, is trusted half as long from then on, and after some
-# time as before. A close right behind an answer says nothing: it is seen before the next call.
+# has closed an idle connection, or reset what came on one, is trusted half as long from then on, and after
+# some time as before. A close right behind an answer says nothing: it is seen before the next call.
 TRUST_LEAST_S = 0.05
 TRUST_BACK = 1.03  # for each sweep
 # Surplus that a server sends right behind an answer is there within a round trip, and is not to be taken for
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -369,6 +369,32 @@
     run(main())
 
 
+def test_a_move_is_followed_at_once_also_where_the_last_call_failed(tmp_path: Path) -> None:
+    async def main() -> None:
+        config = tmp_path / "config.json"
+        async with (
+            StubServer([reply("200 OK", b"a")]) as server,
+            StubDiscovery() as moved,
+            world(
+                row("a", server.address),
+                path=str(config),
+                guarantees={"mustAskInMs": 60_000.0},
+            ) as w,
+        ):
+            w.node._discovery.subscribe()
+            (await w.discovery.watch()).transport.abort()
+            while w.node._discovery._watch is not None:
+                await asyncio.sleep(0)
+            config.write_text(json.dumps({"discovery": moved.address}))
+            w.node.reload()  # the module's next call is seconds away
+            tell(await moved.watch(), listing(41, row("a", server.address)))
+            while w.node._discovery._version != 41:
+                await asyncio.sleep(0)
+            assert w.node._discovery._watch is not None
+
+    run(main())
+
+
 @pytest.mark.parametrize("text", ["", "{", "[]", '{"discovery": "nowhere"}', '{"discovery": 5}', "{}"])
 def test_a_configuration_that_cannot_be_read_at_sighup_keeps_the_old_one(
     tmp_path: Path, text: str, caplog: pytest.LogCaptureFixture
