--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -646,16 +646,7 @@
         out far too many or too few over all nodes, so each request carries the chance that settles the
         fraction.
         """
-        return self._burden() + request.chance < self._limit
-
-    def _burden(self) -> float:
-        """Calls out, of each server at most what its budget of the limit is, and none of those that left.
-
-        Guards against one server that does not answer and holds calls up to the limit, while others, new ones
-        above all, stand idle.
-        """
-        most = BUDGET_PLUS + BUDGET_TIMES * self._limit / max(1, len(self._arms))
-        return sum(min(len(server.out), most) for server in self._arms)
+        return len(self._attempts) + request.chance < self._limit
 
     def _place(self, request: Request, last_resort: bool) -> bool:
         pool = self._pool(request, last_resort)
