--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -797,7 +797,15 @@
     # ------------------------------------------------------------ the one path that sends
 
     def _send(self, request: Request, server: Server) -> bool:
-        """Send an attempt.  Rules 1 to 3 are enforced here; _cold_allows has kept rule 4."""
+        """Send an attempt.  Rules 1 to 3 are enforced here; _cold_allows has kept rule 4.
+
+        What may not be repeated is not entrusted to an idle connection of a server that has been unheard of
+        for longer than a new connection may take to come up.  A machine that has vanished leaves its
+        connections open and swallows what is written to them: every node of a tier lost a booking to find
+        that out, and held a place in each tier before it until the deadline.  A new connection that does not
+        come up proves that nothing ran.  It covers connections that servers or the network have dropped as
+        well.  It could hurt where a handshake costs as much as the work, or a table of connections is short.
+        """
         now, settings = self._now, self.settings
         left = request.deadline - now
         if (
@@ -819,6 +827,8 @@
         server.tokens -= request.units
         self._sent.add(request.units, now)
         self._watch(request)
+        if not request.repeatable() and now - server.heard > settings.connect_timeout_ms:
+            self._actions.append(CloseIdle(server.entry.server))
         self._actions.append(Send(request.id, server.entry.server))
         return True
 
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -152,6 +152,11 @@
     async def __aexit__(self, *_: object) -> None:
         self._server.close()
 
+    def vanish(self) -> None:
+        """Open connections stay open and say nothing, new ones do not come up."""
+        self.behaviours[:] = [silent]
+        self._server.close()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
         self.writers.append(writer)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from fawngw.interface import Action, Arrival, Event, ListKind, RequestGone, ServerList
+from fawngw.interface import Action, Arrival, AttemptEnded, Event, ListKind, Outcome, RequestGone, ServerList
 from fawngw.node.callers import MOST_PIPELINED
 from tests.stubs import (
     HOST,
@@ -122,6 +122,33 @@
     run(main())
 
 
+def test_an_unsafe_request_does_not_meet_the_idle_connection_of_a_server_that_has_vanished(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A vanished machine leaves its connections open and silent; only a new one tells that it is gone."""
+    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
+
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK")]) as one,
+            StubServer([reply("200 OK")]) as two,
+            world(row("a", one.address), row("b", two.address)) as w,
+        ):
+            caller = await w.caller()
+            while not (one.received and two.received):
+                assert (await caller.ask("look")).status == 200
+            one.vanish()
+            now = w.node._clock.now
+            monkeypatch.setattr(w.node._clock, "now", lambda: now() + 1000.0)  # so long unheard of
+            events = _record(w.node._balancer)
+            for _ in range(12):
+                assert (await caller.ask("book", deadline="1.0")).status == 200
+            assert any(isinstance(e, AttemptEnded) and e.outcome is Outcome.CONNECT_FAILED for e in events)
+            assert {got.method for got in one.received} == {"GET"}
+
+    run(main())
+
+
 def test_a_client_that_leaves_ends_its_attempt_and_gets_nothing() -> None:
     async def main() -> None:
         async with StubServer([silent]) as server, world(row("a", server.address)) as w:
