--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -404,6 +404,7 @@
         self._limit = 0.0  # set by the first list
         self._strained = False
         self._strain = 0.0
+        self._pressure = 0.0  # its part that compares with the aim
         self._lateness = 0.0  # mean latency as a part of the aim
         self._calm_lateness = 1.0
         self._step = STRAIN_STEP
@@ -848,17 +849,20 @@
 
         Only if its server has fallen silent: a server that goes on answering others is merely busy with
         long work, and giving that up would waste it and feed the next queue (seen as 14% of attempts timed
-        out on a quiet day).  And only while the budget lasts and nothing is strained.
+        out on a quiet day).  And only while the budget lasts and latencies keep within their part of the aim:
+        in an inner tier a few answers of twice the calmest mean are no jam, and a call to a vanished machine
+        waited there for its deadline.  What does not hold now may hold at the next look.
         """
         late = self._class_patience[request.class_index].late()
         out = [self._servers[a.entry.server] for a in request.attempts if a.ended is None]
-        if not all(self._silent(server, late) for server in out):
-            self._watch(request)
-        elif self._retry_tokens >= 1.0 and self._strain < 1.0:
+        if all(self._silent(s, late) for s in out) and self._retry_tokens >= 1.0 and self._pressure < 1.0:
             if not self.settings.may_duplicate:
                 self._abandon(request, None)
-            elif self._place(request, False):
+                return
+            if self._place(request, False):
                 self._retry_tokens -= 1.0
+                return
+        self._watch(request)
 
     # ------------------------------------------------------------ the one path that answers
 
@@ -1153,7 +1157,8 @@
         # Where even the calmest latencies are near the target, holding to it would shed without end.
         target = TARGET * (settings.stages - settings.stage) / settings.stages
         target = max(target, TARGET_TIMES * self._calm_lateness) if self._calm < math.inf else target
-        self._strain = max(self._lateness / target, self._level / calm if calm > 0 else 0.0)
+        self._pressure = self._lateness / target
+        self._strain = max(self._pressure, self._level / calm if calm > 0 else 0.0)
         # Not by the mean latency alone: in a jam that grows to the callers' deadline, and cuts that waited
         # for it came every five seconds, while four hundred nodes went on feeding queues of dead calls.
         if now - self._limit_at < min(self._patience.mean, TIMES_CALM * self._calm, self._aim):
