A class is barred only for a run of errors that its peers' usual rate does not bring by chance

At fault: decide.py _class_failed, which compared a server's last answers with its peers' last answers (0.00 to 0.11), not with what usually fails there (6 to 8% of bookings). Now the run must be one that peers' rate over some twenty answers brings less than once in a thousand.

--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -69,6 +69,8 @@
 SPOILT_STEP = 0.14  # any server spoils an answer now and then: four in a row cross it, three never do
 FAIL_EJECT = 0.45
 FAIL_VS_PEERS = 2.0  # and it must fail at twice the peers' rate, so that a shared cause ejects nobody
+FAIL_CHANCE = 0.001  # a run of a class's failures that peers' usual rate brings this often bars nobody
+USUAL_STEP = 0.05  # that rate spans about twenty answers of each server
 EJECT_MOST = 0.34  # part of the fleet that may be out at once
 BAR_MOST = 0.5  # and that may be out for one class: these go on serving the others, so no capacity is lost
 PANIC = 0.5  # with more than this part unhealthy, health is ignored: the cause is not the servers
@@ -244,6 +246,12 @@
         low |= under
 
 
+def _beyond_chance(rate: float) -> float:
+    """What an average by FAIL_STEP reaches in a run of failures that is no chance at this usual rate."""
+    run = math.log(FAIL_CHANCE) / math.log(rate) if rate > 0.0 else 0.0
+    return 1.0 - math.pow(1.0 - FAIL_STEP, run)
+
+
 def _can_spare(out: int, servers: int, most: float = EJECT_MOST) -> bool:
     """Whether one more of these servers may be left out beside those that are."""
     return out + 1 <= max(1.0, most * servers)
@@ -316,6 +324,7 @@
     """How a server does with one class of requests."""
 
     fail: float = 0.0
+    usual: float = 0.0  # the same over more answers, spoilt ones among them
     served: bool = False
     barred_until: float = -math.inf
     trial: bool = False  # barred until lately, and not proven since
@@ -982,6 +991,8 @@
             if outcome in (Outcome.ERROR, Outcome.SPOILT):
                 server.heard = self._now
             self.automaton.charge(name, elapsed)
+            health = server.classes[attempt.class_index]
+            health.usual += USUAL_STEP * (1.0 - health.usual)
             if current and not (outcome is Outcome.ERROR and self._class_failed(server, attempt.class_index)):
                 self._failed(server, outcome)
         elif outcome is Outcome.REJECTED:
@@ -1012,6 +1023,11 @@
 
         Guards against a server that fails one class and is tried again with another: it came back after each
         good trial, and every time the class that it fails paid for that with two more requests.
+
+        An error may come from a tier behind.  Where peers' answers fail now and then it takes a longer run:
+        with one booking in fifteen lost to answers spoilt further in, two errors in a row barred healthy
+        servers three times in 25 s, two of five at once.  It covers whatever fails behind all servers alike;
+        one that does fail while its peers do, too, is found an error or two later.
         """
         health = server.classes[class_index]
         health.fail += FAIL_STEP * (1.0 - health.fail)
@@ -1020,8 +1036,9 @@
         peers = [s.classes[class_index] for s in self._arms if s is not server]
         open_peers = [h for h in peers if h.open(self._now)]
         norm = sum(h.fail for h in open_peers) / len(peers) if peers else 1.0
+        usual = sum(h.usual for h in open_peers) / len(open_peers) if open_peers else 0.0
         if health.trial or (
-            health.fail >= FAIL_EJECT
+            health.fail >= max(FAIL_EJECT, _beyond_chance(usual))
             and health.fail >= FAIL_VS_PEERS * norm
             and _can_spare(len(peers) - len(open_peers), len(self._arms), BAR_MOST)
         ):
@@ -1041,6 +1058,7 @@
     def _succeeded(self, server: Server, health: ClassHealth) -> None:
         health.served, health.trial = True, False
         health.fail -= FAIL_STEP * health.fail
+        health.usual -= USUAL_STEP * health.usual
         if health.fail < 0.05:
             health.strikes = 0
         server.fail -= FAIL_STEP * server.fail
