Strain far from the aim holds the limit and no longer cuts it; a class comes back with the record of a trial

A barred class kept its record, so that one error of any tier after a good trial barred it again (_class_failed, three times on one play).

--- a/fawngw/decide.py
+++ b/fawngw/decide.py
@@ -1030,6 +1030,8 @@
         one that does fail while its peers do, too, is found an error or two later.
         """
         health = server.classes[class_index]
+        if self._now < health.barred_until:
+            return True  # sent before: the class pays for that already
         health.fail += FAIL_STEP * (1.0 - health.fail)
         if not any(h.served and h.fail < FAIL_STEP for h in server.classes if h is not health):
             return False
@@ -1049,10 +1051,10 @@
                 EJECT_LONGEST if unsafe else min(EJECT_LONGEST, EJECT_FIRST * 2.0 ** min(health.strikes, 10))
             )
             pause = part * self._recovery * (0.75 + 0.5 * self._rng.random())
-            health.barred_until, health.trial = self._now + pause, True
-            health.strikes += 1
             text = f"server {server.entry.server.hex()} gets no {kind.name} for {pause:.0f} ms"
             self._actions.append(Log(f"{text}, fail {health.fail:.2f} against {norm:.2f} of its peers"))
+            health.barred_until, health.trial, health.fail = self._now + pause, True, FAIL_STEP
+            health.strikes += 1
         return True
 
     def _succeeded(self, server: Server, health: ClassHealth) -> None:
@@ -1192,7 +1194,12 @@
         # A server holds its slot while it waits for the tiers behind it: with a call for each of those its
         # core is just kept busy.  At one call a front that had taken a lucky start for calm shed 40% all day.
         least = (settings.stages - settings.stage) * len(self._arms) / self._sharers
-        if self._strain > 1.0:
+        if self._strain > 1.0 > self._pressure:
+            # No growth, but no cut either while the aim is far: latencies are twice the calmest in a burst of
+            # heavy work, and a cut halved the rate of answers at a third of the aim and refused the rest.
+            # It could hurt where servers turn slow for good before latencies tell.
+            self._strained = True
+        elif self._strain > 1.0:
             self._strained = True
             # Cut at most to what was in flight when as much was answered without a queue, times a margin:
             # repeated blind cuts shed at random, and what they let back in jams the servers again.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -441,6 +441,20 @@
     assert sum(1 for request in requests for _ in play.live(request)) >= 3 * 4 - 1
 
 
+def test_a_burst_far_inside_the_aim_is_not_refused() -> None:
+    """A limit by the calmest latency once held the answers to half their rate and refused the other half."""
+    play = make(RequestClass("r", 1500, 4000), servers=4, stages=3, stage=0)
+    for latency in [60.0] * 300 + [300.0] * 500:  # one every 20 ms
+        play.arrive()
+        play.step(20.0)
+        for request in list(play.open):
+            tried = play.owed[request].attempts
+            if tried and not tried[0].ended and play.now - tried[0].sent >= latency:
+                play.end(request, 0, Outcome.OK)
+    assert any(t.startswith("admission limit on") for t in texts(play))
+    assert sum(isinstance(a, Refuse) for a in play.log) < 25
+
+
 def test_a_quick_start_is_not_taken_for_calm() -> None:
     """Guards against the first answers, which an empty fleet gives: twice those was the usual mean."""
     play = make(RequestClass("r", 1500, 4000))
@@ -500,6 +514,30 @@
     assert not health.trial and health.fail < 0.45
 
 
+def test_a_class_that_came_back_by_a_good_trial_is_not_barred_for_one_error() -> None:
+    """What was held against it before had been kept, so that the next error of any tier barred it again."""
+    play = make(SAFE, UNSAFE, cold_ms=1000.0)
+    bad = bytes([2])
+    serve(play, 60)
+    health = play.balancer._servers[bad].classes[1]
+
+    def book(outcome: Outcome) -> None:
+        """Bookings until the server has ended one like this."""
+        met = False
+        while not met:
+            request = play.arrive(1)
+            play.step(20)
+            met = play.owed[request].attempts[0].entry.server == bad
+            play.end(request, 0, outcome if met else Outcome.OK)
+
+    while not health.trial:
+        book(Outcome.ERROR)
+    play.step(6000)
+    book(Outcome.OK)
+    book(Outcome.ERROR)
+    assert health.open(play.now)
+
+
 def test_a_request_that_a_server_finds_fault_with_is_not_sent_again_and_says_nothing_of_it() -> None:
     play = make()
     for _ in range(40):
