Rename the package to leadrudder, the decisions to leadrudder/policy

The product's name is leadrudder, and the subsystems to come need places of their own. Environment, protocol and configuration keep their names.

--- a/fawngw/__main__.py
+++ b/leadrudder/__main__.py
@@ -1,4 +1,4 @@
-"""python -m fawngw: one real node; its environment says where it listens and whom it serves."""
+"""python -m leadrudder: one real node; its environment says where it listens and whom it serves."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 
 import uvloop
 
-from fawngw.node.config import Config, ConfigError, load
-from fawngw.node.node import Node
+from leadrudder.node.config import Config, ConfigError, load
+from leadrudder.node.node import Node
 
 
 async def _serve(config: Config) -> None:
@@ -58,10 +58,10 @@
         config = load(os.environ)
         uvloop.run(_serve(config))
     except ConfigError as error:
-        print(f"fawngw: {error}", file=sys.stderr)
+        print(f"leadrudder: {error}", file=sys.stderr)
         return 2
     except OSError as error:
-        print(f"fawngw: NODE_LISTEN cannot be used: {error}", file=sys.stderr)
+        print(f"leadrudder: NODE_LISTEN cannot be used: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/fawngw/drill.py
+++ b/leadrudder/adapter.py
@@ -1,12 +1,12 @@
-"""python -m fawngw.drill: hosts many independent instances of the module on the simulator's wire."""
+"""python -m leadrudder.adapter: hosts many independent instances of the module on the simulator's wire."""
 
 from __future__ import annotations
 
 import sys
 from typing import BinaryIO
 
-from fawngw.decide import Balancer
-from fawngw.wire import BATCH_HEADER, Decoder, Start, Stop, WireError, encode, encode_fault, reply
+from leadrudder.policy.decide import Balancer
+from leadrudder.wire import BATCH_HEADER, Decoder, Start, Stop, WireError, encode, encode_fault, reply
 
 
 class Host:
@@ -71,7 +71,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
-        print(f"fawngw.drill: {error}", file=sys.stderr)
+        print(f"leadrudder.adapter: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/fawngw/node/callers.py
+++ b/leadrudder/node/callers.py
@@ -12,8 +12,8 @@
 from hashlib import blake2b
 from typing import cast
 
-from fawngw.interface import Effect, Settings
-from fawngw.node.http import (
+from leadrudder.interface import Effect, Settings
+from leadrudder.node.http import (
     CLASS,
     COST_HINT,
     DEADLINE,
--- a/fawngw/node/config.py
+++ b/leadrudder/node/config.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from fawngw.interface import ImpossibleSettings, Settings
-from fawngw.node.discovery import ListError, Listing, Naming
-from fawngw.settings import SettingsError, read_settings
+from leadrudder.interface import ImpossibleSettings, Settings
+from leadrudder.node.discovery import ListError, Listing, Naming
+from leadrudder.settings import SettingsError, read_settings
 
 _DEFAULT_CONN_IDLE_MS = 15_000.0
 # With fewer no request can be served.  A tight limit is the platform's to set, and no reason not to start:
--- a/fawngw/node/discovery.py
+++ b/leadrudder/node/discovery.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from fawngw.interface import ListKind, Readiness, ServerEntry, ServerId, ServerList
+from leadrudder.interface import ListKind, Readiness, ServerEntry, ServerId, ServerList
 
 log = logging.getLogger(__name__)
 
--- a/fawngw/node/node.py
+++ b/leadrudder/node/node.py
@@ -13,8 +13,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from fawngw.decide import Balancer
-from fawngw.interface import (
+from leadrudder.interface import (
     Action,
     Arrival,
     AttemptEnded,
@@ -39,11 +38,12 @@
     Subscribe,
     TimerFired,
 )
-from fawngw.node.callers import Ask, Callers, Exchange
-from fawngw.node.config import Config, ConfigError, discovery_anew
-from fawngw.node.discovery import Discovery, Listing
-from fawngw.node.http import CONTENT_TYPE, REQUEST_ID, Message, MessageError, request_head
-from fawngw.node.servers import Call, Servers
+from leadrudder.node.callers import Ask, Callers, Exchange
+from leadrudder.node.config import Config, ConfigError, discovery_anew
+from leadrudder.node.discovery import Discovery, Listing
+from leadrudder.node.http import CONTENT_TYPE, REQUEST_ID, Message, MessageError, request_head
+from leadrudder.node.servers import Call, Servers
+from leadrudder.policy.decide import Balancer
 
 log = logging.getLogger(__name__)
 
--- a/fawngw/node/servers.py
+++ b/leadrudder/node/servers.py
@@ -13,9 +13,9 @@
 from dataclasses import dataclass, field
 from typing import cast
 
-from fawngw.interface import Outcome, Readiness, ServerId
-from fawngw.node.discovery import Listing
-from fawngw.node.http import NOT_RUN, Message, MessageError, Reader
+from leadrudder.interface import Outcome, Readiness, ServerId
+from leadrudder.node.discovery import Listing
+from leadrudder.node.http import NOT_RUN, Message, MessageError, Reader
 
 log = logging.getLogger(__name__)
 
--- a/fawngw/decide.py
+++ b/leadrudder/policy/decide.py
@@ -1,4 +1,4 @@
-"""Every decision of fawngw.  The types, events and actions are in fawngw/interface.py.
+"""Every decision of leadrudder.  The types, events and actions are in leadrudder/interface.py.
 
 The ordinary path is a two-time-scale learning automaton (Automaton below).  What surrounds it only says
 which servers may be drawn at all, when, and what follows from an outcome; docs/design.md lists those
@@ -16,7 +16,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from fawngw.interface import (
+from leadrudder.interface import (
     NEVER_RAN,
     Action,
     AnswerStarted,
--- a/fawngw/settings.py
+++ b/leadrudder/settings.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Mapping
 
-from fawngw.interface import Effect, RepeatGroup, RequestClass, Settings, Tenant
+from leadrudder.interface import Effect, RepeatGroup, RequestClass, Settings, Tenant
 
 
 class SettingsError(Exception):
--- a/fawngw/wire.py
+++ b/leadrudder/wire.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from fawngw.interface import (
+from leadrudder.interface import (
     Action,
     AnswerStarted,
     Arrival,
@@ -35,7 +35,7 @@
     Subscribe,
     TimerFired,
 )
-from fawngw.settings import SettingsError, read_settings
+from leadrudder.settings import SettingsError, read_settings
 
 BATCH_HEADER = struct.Struct("<IdI")
 REPLY_HEADER = struct.Struct("<II")
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from fawngw import Balancer
-from fawngw.interface import (
+from leadrudder import Balancer
+from leadrudder.interface import (
     Action,
     Arrival,
     AttemptEnded,
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -12,10 +12,10 @@
 
 import uvloop
 
-from fawngw.node.config import Config, Limits, flat
-from fawngw.node.discovery import Naming
-from fawngw.node.node import Node
-from fawngw.settings import read_settings
+from leadrudder.node.config import Config, Limits, flat
+from leadrudder.node.discovery import Naming
+from leadrudder.node.node import Node
+from leadrudder.settings import read_settings
 
 HOST = "127.0.0.1"
 PATIENCE_S = 20.0  # for what must come; reached only by a failing test
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from fawngw.interface import Effect, ListKind, Readiness
-from fawngw.node.config import ConfigError, load
-from fawngw.node.discovery import ListError, Naming
-from fawngw.node.node import Clock
+from leadrudder.interface import Effect, ListKind, Readiness
+from leadrudder.node.config import ConfigError, load
+from leadrudder.node.discovery import ListError, Naming
+from leadrudder.node.node import Clock
 from tests.stubs import listing, row, settings
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,9 +4,8 @@
 
 from collections.abc import Iterable
 
-from fawngw import Balancer
-from fawngw.decide import BUDGET_PLUS, BUDGET_TIMES
-from fawngw.interface import (
+from leadrudder import Balancer
+from leadrudder.interface import (
     Arrival,
     AttemptEnded,
     Cancel,
@@ -26,6 +25,7 @@
     Subscribe,
     Tenant,
 )
+from leadrudder.policy.decide import BUDGET_PLUS, BUDGET_TIMES
 from tests.checker import Owed, Surrounding
 
 SAFE = RequestClass("r", 1000, 3000)
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -4,8 +4,8 @@
 
 from collections import Counter
 
-from fawngw import Balancer
-from fawngw.interface import ListKind, Readiness, RequestClass, ServerEntry, ServerList, Settings
+from leadrudder import Balancer
+from leadrudder.interface import ListKind, Readiness, RequestClass, ServerEntry, ServerList, Settings
 
 KIND = RequestClass("r", 1000, 3000)
 
--- a/tests/test_list_calls.py
+++ b/tests/test_list_calls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fawngw.interface import ListKind, RequestClass, ServerEntry, ServerList, Settings
+from leadrudder.interface import ListKind, RequestClass, ServerEntry, ServerList, Settings
 from tests.checker import Surrounding
 
 ASKING = Settings(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,8 +13,17 @@
 
 import pytest
 
-from fawngw.interface import Action, Arrival, AttemptEnded, Event, ListKind, Outcome, RequestGone, ServerList
-from fawngw.node.callers import MOST_PIPELINED
+from leadrudder.interface import (
+    Action,
+    Arrival,
+    AttemptEnded,
+    Event,
+    ListKind,
+    Outcome,
+    RequestGone,
+    ServerList,
+)
+from leadrudder.node.callers import MOST_PIPELINED
 from tests.stubs import (
     HOST,
     PATIENCE_S,
@@ -46,7 +55,7 @@
 
 
 def test_a_served_request_passes_through_unchanged(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
+    monkeypatch.setattr("leadrudder.node.servers.REST_S", 0.0)
 
     async def main() -> None:
         async with StubServer([reply("200 OK", BODY)]) as server, world(row("a", server.address)) as w:
@@ -110,7 +119,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against the silent resend on a fresh connection that HTTP clients do."""
-    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
+    monkeypatch.setattr("leadrudder.node.servers.REST_S", 0.0)
 
     async def main() -> None:
         async with StubServer([reply("200 OK"), reset]) as server, world(row("a", server.address)) as w:
@@ -126,7 +135,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A vanished machine leaves its connections open and silent; only a new one tells that it is gone."""
-    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
+    monkeypatch.setattr("leadrudder.node.servers.REST_S", 0.0)
 
     async def main() -> None:
         async with (
@@ -535,7 +544,7 @@
 
 
 def test_a_slow_reader_gets_its_last_answer_whole(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("fawngw.node.callers.LINGER_S", 0.01)
+    monkeypatch.setattr("leadrudder.node.callers.LINGER_S", 0.01)
 
     async def main() -> None:
         body = b"x" * 60_000
@@ -590,8 +599,8 @@
 def test_a_request_that_does_not_come_is_not_waited_for(
     begun: bytes, status: int | None, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("fawngw.node.callers.FIRST_S", 0.05)
-    monkeypatch.setattr("fawngw.node.callers.IDLE_ONCE_S", 0.05)
+    monkeypatch.setattr("leadrudder.node.callers.FIRST_S", 0.05)
+    monkeypatch.setattr("leadrudder.node.callers.IDLE_ONCE_S", 0.05)
 
     async def main() -> None:
         async with StubServer([silent]) as server, world(row("a", server.address)) as w:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from fawngw import Balancer
-from fawngw.interface import (
+from leadrudder import Balancer
+from leadrudder.interface import (
     Arrival,
     AttemptEnded,
     Effect,
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -11,7 +11,7 @@
 import tomllib
 from pathlib import Path
 
-from fawngw.__main__ import _RateLimit
+from leadrudder.__main__ import _RateLimit
 from tests.stubs import (
     HOST,
     PATIENCE_S,
@@ -86,7 +86,7 @@
         process = await _start({"NODE_NAME": "n0", "NODE_CONFIG": str(config)})
         _, error = await asyncio.wait_for(process.communicate(), PATIENCE_S)
         assert process.returncode == 2
-        assert error.decode() == "fawngw: settings is missing or not of type dict: None\n"
+        assert error.decode() == "leadrudder: settings is missing or not of type dict: None\n"
 
     run(main())
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -11,10 +11,10 @@
 
 import pytest
 
-from fawngw.interface import Outcome
-from fawngw.node.discovery import Naming
-from fawngw.node.http import Message
-from fawngw.node.servers import Call, Servers
+from leadrudder.interface import Outcome
+from leadrudder.node.discovery import Naming
+from leadrudder.node.http import Message
+from leadrudder.node.servers import Call, Servers
 from tests.stubs import HOST, PATIENCE_S, Behaviour, StubServer, listing, raw, reply, reset, row, run, silent
 
 REQUEST = b"GET /api/x HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -205,7 +205,7 @@
 
 def test_a_connection_with_something_unread_is_not_used_again(monkeypatch: pytest.MonkeyPatch) -> None:
     """What came in after the answer and was not read yet would be taken for the next answer."""
-    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
+    monkeypatch.setattr("leadrudder.node.servers.REST_S", 0.0)
 
     async def main() -> None:
         behaviours = [reply("200 OK", b"1"), reply("200 OK", b"2")]
@@ -236,7 +236,7 @@
 
 def test_a_new_server_at_an_old_address_takes_it_over(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against calls meant for the old server that would meet the new and cold one."""
-    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
+    monkeypatch.setattr("leadrudder.node.servers.REST_S", 0.0)
 
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, attempts(server.address) as a:
@@ -265,8 +265,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A request that crosses the server's close may have run: a booking is lost with it."""
-    monkeypatch.setattr("fawngw.node.servers.REST_S", 0.0)
-    monkeypatch.setattr("fawngw.node.servers.TRUST_LEAST_S", 0.0)
+    monkeypatch.setattr("leadrudder.node.servers.REST_S", 0.0)
+    monkeypatch.setattr("leadrudder.node.servers.TRUST_LEAST_S", 0.0)
 
     async def main() -> None:
         async with StubServer([reply("200 OK")]) as server, attempts(server.address) as a:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from fawngw.drill import serve
-from fawngw.interface import (
+from leadrudder.adapter import serve
+from leadrudder.interface import (
     Action,
     AnswerStarted,
     Arrival,
@@ -35,7 +35,7 @@
     Subscribe,
     TimerFired,
 )
-from fawngw.wire import (
+from leadrudder.wire import (
     Decoder,
     Record,
     Start,
@@ -279,12 +279,14 @@
     assert any(code == 65 for code, _ in records)
 
 
-def run_drill(raw: bytes) -> subprocess.CompletedProcess[bytes]:
-    return subprocess.run([sys.executable, "-m", "fawngw.drill"], input=raw, capture_output=True, check=False)
+def run_adapter(raw: bytes) -> subprocess.CompletedProcess[bytes]:
+    return subprocess.run(
+        [sys.executable, "-m", "leadrudder.adapter"], input=raw, capture_output=True, check=False
+    )
 
 
 def test_the_command_ends_quietly_at_the_end_of_input() -> None:
-    done = run_drill(batch())
+    done = run_adapter(batch())
     assert (done.returncode, done.stdout, done.stderr) == (0, bytes(8), b"")
 
 
@@ -304,10 +306,10 @@
     ],
 )
 def test_malformed_input_ends_the_command_with_one_plain_line(raw: bytes) -> None:
-    done = run_drill(raw)
+    done = run_adapter(raw)
     text = done.stderr.decode()
     assert done.returncode == 2
-    assert text.startswith("fawngw.drill: ") and text.count("\n") == 1 and "Traceback" not in text
+    assert text.startswith("leadrudder.adapter: ") and text.count("\n") == 1 and "Traceback" not in text
 
 
 def test_start_carries_seed_and_settings() -> None:
