A seam to the machine in the node: clocks, unread input and files come from a platform

Time, polls and files were reached for directly, so nothing could replay a node. Timers, connections, listening and signals come from the running loop already; what asyncio's interface lacks now comes from node/platform.py.

--- a/leadrudder/node/callers.py
+++ b/leadrudder/node/callers.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import re
-import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -27,6 +26,7 @@
     Reader,
     answer,
 )
+from leadrudder.node.platform import SYSTEM, Platform
 
 log = logging.getLogger(__name__)
 
@@ -297,8 +297,10 @@
         ready: Callable[[], bool],
         most: int,
         most_bytes: int,
+        platform: Platform = SYSTEM,
     ) -> None:
         self.closing = False
+        self.now = platform.monotonic  # the loop's own time is too coarse to tell which is idle longest
         self.last_heard = 0.0  # when a connection or a request last came
         self._settings = settings
         self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
@@ -309,7 +311,7 @@
         self._most_bytes = most_bytes
         self._bytes = 0
         self._loop = asyncio.get_running_loop()
-        self._open: set[CallerConnection] = set()
+        self._open: dict[CallerConnection, None] = {}  # a set with an order: the same at every play
         self._server: asyncio.Server | None = None
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
 
@@ -322,22 +324,17 @@
         bound: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
         return bound
 
-    @staticmethod
-    def now() -> float:
-        """Seconds; the loop's own time is too coarse to tell which connection is idle longest."""
-        return time.monotonic()
-
     def listening(self) -> bool:
         return self._server is not None and self._server.is_serving()
 
     def opened(self, connection: CallerConnection) -> None:
-        self._open.add(connection)
+        self._open[connection] = None
         self.last_heard = self.now()
         if len(self._open) > self._most and not self._shed_one(connection) and self._overflows():
             connection.drop()
 
     def closed(self, connection: CallerConnection) -> None:
-        self._open.discard(connection)
+        self._open.pop(connection, None)
 
     def crowded(self) -> bool:
         """More connections than the limit, and none idle to close: what comes now is refused."""
@@ -359,7 +356,7 @@
         if not ranks:
             return False
         _, connection = min(ranks, key=lambda pair: pair[0])
-        self._open.discard(connection)
+        self._open.pop(connection, None)
         connection.make_way()
         return True
 
--- a/leadrudder/node/config.py
+++ b/leadrudder/node/config.py
@@ -10,6 +10,7 @@
 
 from leadrudder.interface import ImpossibleSettings, Settings
 from leadrudder.node.discovery import ListError, Listing, Naming
+from leadrudder.node.platform import SYSTEM, Platform
 from leadrudder.settings import SettingsError, read_settings
 
 _DEFAULT_CONN_IDLE_MS = 15_000.0
@@ -47,10 +48,10 @@
     conn_idle_ms: float
 
 
-def load(environment: Mapping[str, str]) -> Config:
+def load(environment: Mapping[str, str], platform: Platform = SYSTEM) -> Config:
     """The configuration of this process."""
     path = _variable(environment, "NODE_CONFIG")
-    raw = _read_file(path)
+    raw = _read_file(path, platform)
     settings_raw = _member(raw, "settings", dict)
     values = dict(flat(settings_raw))
     try:
@@ -73,9 +74,9 @@
     )
 
 
-def discovery_anew(path: str) -> tuple[str, int]:
+def discovery_anew(path: str, platform: Platform = SYSTEM) -> tuple[str, int]:
     """Where discovery is by the file as it stands now; the environment names the address of the start."""
-    return _address({}, _read_file(path), "discovery", "discovery")
+    return _address({}, _read_file(path, platform), "discovery", "discovery")
 
 
 def _variable(environment: Mapping[str, str], name: str) -> str:
@@ -85,10 +86,9 @@
     return value
 
 
-def _read_file(path: str) -> dict[str, Any]:
+def _read_file(path: str, platform: Platform) -> dict[str, Any]:
     try:
-        with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
+        raw = json.loads(platform.read_text(path))
     except (OSError, ValueError) as error:
         raise ConfigError(f"NODE_CONFIG: {path} cannot be read: {error}") from None
     if not isinstance(raw, dict):
--- a/leadrudder/node/node.py
+++ b/leadrudder/node/node.py
@@ -9,7 +9,6 @@
 import asyncio
 import logging
 import signal
-import time
 from collections import deque
 from dataclasses import dataclass
 
@@ -42,6 +41,7 @@
 from leadrudder.node.config import Config, ConfigError, discovery_anew
 from leadrudder.node.discovery import Discovery, Listing
 from leadrudder.node.http import CONTENT_TYPE, REQUEST_ID, Message, MessageError, request_head
+from leadrudder.node.platform import SYSTEM, Platform
 from leadrudder.node.servers import Call, Servers
 from leadrudder.policy.decide import Balancer
 
@@ -68,11 +68,12 @@
     """Unix time in milliseconds, advanced by the monotonic clock: never backwards, and comparable with the
     start times of servers, whatever is done to the system's clock."""
 
-    def __init__(self) -> None:
-        self._base = time.time() - time.monotonic()
+    def __init__(self, platform: Platform = SYSTEM) -> None:
+        self._monotonic = platform.monotonic
+        self._base = platform.wall() - platform.monotonic()
 
     def now(self) -> float:
-        return 1000.0 * (self._base + time.monotonic())
+        return 1000.0 * (self._base + self._monotonic())
 
 
 @dataclass(slots=True)
@@ -90,11 +91,12 @@
 class Node:
     """One real node."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, platform: Platform = SYSTEM) -> None:
         settings = config.settings
+        self._platform = platform
         self._config = config
         self._loop = asyncio.get_running_loop()
-        self._clock = Clock()
+        self._clock = Clock(platform)
         self._balancer = Balancer(settings, config.seed)
         self._events: deque[Event] = deque()
         self._handling = False
@@ -111,6 +113,7 @@
             connect_s=settings.connect_timeout_ms / 1000.0,
             idle_s=config.conn_idle_ms / 1000.0,
             most_open=int(SERVERS_PART * sockets),
+            platform=platform,
         )
         self._callers = Callers(
             settings,
@@ -118,6 +121,7 @@
             self._servers.any_listed,
             most=int(CALLERS_PART * sockets),
             most_bytes=int(BODIES_PART * config.limits.memory_mb * 1_000_000),
+            platform=platform,
         )
         self._discovery = Discovery(
             config.discovery,
@@ -226,7 +230,7 @@
         request = self._last_id
         budget = ask.budget_ms
         if self._terminated_at is not None:
-            budget = min(budget, 1000.0 * (self._terminated_at + LAST_S - time.monotonic()))
+            budget = min(budget, 1000.0 * (self._terminated_at + LAST_S - self._platform.monotonic()))
         budget = max(1.0, budget - min(RESERVE_MS, RESERVE_MOST * budget))
         self._requests[request] = Pending(
             ask.message,
@@ -354,7 +358,7 @@
     def reload(self) -> None:
         """SIGHUP: the configuration file was replaced; discovery may have moved."""
         try:
-            address = discovery_anew(self._config.path)
+            address = discovery_anew(self._config.path, self._platform)
         except ConfigError as error:
             log.error("kept the old configuration: %s", error)
             return
@@ -368,7 +372,7 @@
         if self._terminated_at is not None:
             return
         log.info("terminating, %d requests open", len(self._requests))
-        self._terminated_at = time.monotonic()
+        self._terminated_at = self._platform.monotonic()
         self._loop.call_later(LAST_S, self._fail_rest)
         self._callers.wind_down()
         self._loop.call_later(QUIET_S, self._end_when_quiet)
@@ -380,7 +384,7 @@
 
     def _end_when_quiet(self) -> None:
         assert self._terminated_at is not None
-        now = time.monotonic()
+        now = self._platform.monotonic()
         quiet = not self._callers.busy() and now - self._callers.last_heard >= SILENT_S
         if quiet or now - self._terminated_at > LAST_S + SILENT_S:
             self.stop()
--- a/leadrudder/node/servers.py
+++ b/leadrudder/node/servers.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-import select
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import cast
@@ -16,6 +15,7 @@
 from leadrudder.interface import Outcome, Readiness, ServerId
 from leadrudder.node.discovery import Listing
 from leadrudder.node.http import NOT_RUN, Message, MessageError, Reader
+from leadrudder.node.platform import SYSTEM, Platform
 
 log = logging.getLogger(__name__)
 
@@ -94,9 +94,7 @@
         if not self.usable():
             return False
         assert self._transport is not None
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not self._servers.platform.unread(self._transport)
 
     def carry(self, call: Call) -> None:
         """Write the call's request; from here on it may have run."""
@@ -188,14 +186,17 @@
 class Servers:
     """All servers that the list has named, and every open connection to them."""
 
-    def __init__(self, *, connect_s: float, idle_s: float, most_open: int) -> None:
+    def __init__(
+        self, *, connect_s: float, idle_s: float, most_open: int, platform: Platform = SYSTEM
+    ) -> None:
+        self.platform = platform
         self._loop = asyncio.get_running_loop()
         self._connect_s = connect_s
         self._idle_s = IDLE_PART * idle_s
         self._most_open = most_open
         self._peers: dict[ServerId, Peer] = {}
-        self._open: set[Connection] = set()
-        self._opening: set[asyncio.Task[None]] = set()
+        self._open: dict[Connection, None] = {}  # sets with an order: the same at every play
+        self._opening: dict[asyncio.Task[None], None] = {}
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
 
     # What the list says.
@@ -207,7 +208,8 @@
         the new server, which is cold.
         """
         if listing.whole:
-            for server in self._peers.keys() - {entry.server for entry in listing.entries}:
+            named = {entry.server for entry in listing.entries}
+            for server in [server for server in self._peers if server not in named]:
                 self._drop(server)
         replaced: list[ServerId] = []
         for entry in listing.entries:
@@ -260,8 +262,8 @@
             self._loop.call_soon(call.end, Outcome.CONNECT_FAILED)
             return call
         task = self._loop.create_task(self._connect(peer, call))
-        self._opening.add(task)
-        task.add_done_callback(self._opening.discard)
+        self._opening[task] = None
+        task.add_done_callback(lambda done: self._opening.pop(done, None))
         return call
 
     async def _connect(self, peer: Peer, call: Call) -> None:
@@ -298,10 +300,10 @@
     # Connections.
 
     def opened(self, connection: Connection) -> None:
-        self._open.add(connection)
+        self._open[connection] = None
 
     def closed(self, connection: Connection) -> None:
-        self._open.discard(connection)
+        self._open.pop(connection, None)
         if connection in connection.peer.idle:
             connection.peer.idle.remove(connection)
             connection.peer.distrust(self._loop.time() - connection.idle_since)
