--- a/leadrudder/node/node.py
+++ b/leadrudder/node/node.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import signal
 from collections import deque
 from dataclasses import dataclass
@@ -196,7 +197,9 @@
             case Send():
                 self._send(action)
             case SetTimer(token, at_ms):
-                delay = max(0.0, at_ms - self._clock.now()) / 1000.0
+                # The loop counts whole milliseconds, and calls at once what is less than half of one away:
+                # the module, called before its time, asks again, and the core spins until that has come.
+                delay = max(0, math.ceil(at_ms - self._clock.now())) / 1000.0
                 self._loop.call_later(delay, self._post, TimerFired(token))
             case Refuse(request, retry_after_ms):
                 retry = b"Retry-After: %.3f\r\n" % (retry_after_ms / 1000.0) if retry_after_ms else b""
--- a/leadrudder/policy/decide.py
+++ b/leadrudder/policy/decide.py
@@ -397,6 +397,7 @@
         self._queue: list[tuple[float, int, Request]] = []  # by worth, then age
         self._timers: list[tuple[float, int, int, RequestId | ServerId | None]] = []
         self._wake = math.inf
+        self._wake_token = 0
         self._seq = 0
         self._actions: list[Action] = []
         self._now = 0.0
@@ -448,7 +449,7 @@
         elif isinstance(event, Arrival):
             self._on_arrival(event)
         elif isinstance(event, TimerFired):
-            self._on_timer()
+            self._on_timer(event)
         elif isinstance(event, ServerList):
             self._on_list(event)
         elif isinstance(event, RequestGone):
@@ -461,6 +462,7 @@
         if self._timers and self._timers[0][0] < self._wake:
             self._wake = self._timers[0][0]
             self._seq += 1
+            self._wake_token = self._seq
             self._actions.append(SetTimer(self._seq, self._wake))
         return self._actions
 
@@ -468,8 +470,10 @@
         self._seq += 1
         heapq.heappush(self._timers, (when, self._seq, kind, subject))
 
-    def _on_timer(self) -> None:
-        self._wake = math.inf
+    def _on_timer(self, event: TimerFired) -> None:
+        # One that was overtaken by an earlier one asks for no other: it would live on as a chain of its own.
+        if event.token == self._wake_token:
+            self._wake = math.inf
         while self._timers and self._timers[0][0] <= self._now:
             _, _, kind, subject = heapq.heappop(self._timers)
             if kind == _RECHECK:
--- /dev/null
+++ b/leadrudder/simulation/injector.py
@@ -0,0 +1,424 @@
+"""Carries out the fault plan: each kind of fault on what is there at its instant, and its end.
+
+A fault picks its target by a number modulo what is there, so that a plan stays playable when other faults are
+left out of it.
+"""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING, TypeVar
+
+from leadrudder.simulation.faults import Fault
+from leadrudder.simulation.network import Strike
+from leadrudder.simulation.standins.server import StandInServer
+
+if TYPE_CHECKING:
+    from leadrudder.simulation.world import NodeHost, World
+
+T = TypeVar("T")
+
+SILENT_PART = 0.12  # of a tier's servers may fall silent at once
+DRAIN_S = 1.0  # that a draining server finishes what it has before it goes
+TERM_ANNOUNCED_US = (200_000, 400_000)  # the front sends to a node for so long after its SIGTERM
+DEAD_NOTICED_US = (920_000, 2_000_000)  # and to a dead one for so long
+
+
+class Injector:
+    """Begins and ends faults."""
+
+    def __init__(self, world: World) -> None:
+        self.list_late_ms = 0
+        self._world = world
+        self._ends: dict[int, Callable[[], None]] = {}
+        self._number = 0
+        self._over = False
+
+    def begin(self, fault: Fault) -> None:
+        """The fault's instant has come."""
+        if self._over:
+            return
+        self._world.oracle.count("faults")
+        getattr(self, "_" + fault.kind.replace("-", "_"))(fault)
+
+    def calm(self) -> None:
+        """End everything that lasts; nothing begins any more."""
+        self._over = True
+        for end in list(self._ends.values()):
+            end()
+        self._ends.clear()
+
+    # ------------------------------------------------------------ helpers
+
+    def _for(self, span_ms: int, end: Callable[[], None]) -> None:
+        """Call the end after a span, or when all is to be calm, once."""
+        self._number += 1
+        number = self._number
+
+        def once() -> None:
+            if self._ends.pop(number, None) is not None:
+                end()
+
+        self._ends[number] = end
+        self._later(span_ms * 1000, once)
+
+    def _later(self, wait_us: int, call: Callable[[], None]) -> None:
+        scheduler = self._world.scheduler
+        scheduler.timer(scheduler.now + wait_us, None, "injector", call)
+
+    @staticmethod
+    def _pick(items: list[T], fault: Fault) -> T | None:
+        return items[fault.target % len(items)] if items else None
+
+    def _tier(self, fault: Fault) -> int:
+        return fault.target // 7 % self._world.site.tiers
+
+    def _server(self, fault: Fault) -> StandInServer | None:
+        """A server that runs and is not draining; never the last of its tier."""
+        servers = [s for s in self._world.servers[self._tier(fault)] if not s.trouble.draining]
+        return self._pick(servers, fault) if len(servers) > 1 else None
+
+    def _front_node(self, fault: Fault) -> NodeHost | None:
+        return self._pick([n for n in self._world.nodes if not n.tier and n.loop is not None], fault)
+
+    def _with_trouble(self, fault: Fault, name: str, value: object) -> None:
+        server = self._server(fault)
+        if server is None:
+            return
+        trouble = server.trouble
+        usual = getattr(type(trouble)(), name)
+        setattr(trouble, name, value)
+        self._for(fault.span_ms, lambda: setattr(trouble, name, usual))
+
+    def _with_weather(self, fault: Fault, name: str, value: object) -> None:
+        weather = self._world.network.weather
+        usual = getattr(type(weather)(), name)
+        setattr(weather, name, value)
+        self._for(fault.span_ms, lambda: setattr(weather, name, usual))
+
+    def _with_manners(self, fault: Fault, name: str, value: float) -> None:
+        manners = self._world.callers.manners
+        usual = getattr(type(manners)(), name)
+        setattr(manners, name, value)
+        self._for(fault.span_ms, lambda: setattr(manners, name, usual))
+
+    # ------------------------------------------------------------ the network
+
+    def _tail(self, fault: Fault) -> None:
+        self._with_weather(fault, "tail", 0.05 + 0.3 * fault.level)
+
+    def _shatter(self, fault: Fault) -> None:
+        self._with_weather(fault, "split", 0.5 + 0.5 * fault.level)
+
+    def _coincide(self, fault: Fault) -> None:
+        self._with_weather(fault, "grain_us", 1000 if fault.level < 0.7 else 5000)
+
+    def _slow_link(self, fault: Fault) -> None:
+        server = self._server(fault)
+        if server is not None:
+            extra = self._world.network.weather.extra_us
+            extra[server.loop.host] = int(2_000 + 40_000 * fault.level**2)
+            self._for(fault.span_ms, partial(_discard, extra, server.loop.host))
+
+    def _strike(self, fault: Fault, part: float, *, answers: bool = False) -> None:
+        """The next messages between a server and each of its callers' machines are cut."""
+        world = self._world
+        server = self._server(fault)
+        if server is None:
+            return
+        here = [n.host for n in world.nodes if n.tier == server.tier]
+        times = 1 + int(fault.level * 3)
+        for host in here:
+            source, target = (server.loop.host, host) if answers else (host, server.loop.host)
+            world.network.weather.strikes.append(Strike(source, target, part, times))
+        strikes = world.network.weather.strikes
+        mine = strikes[-len(here) :] if here else []
+        self._for(3000, lambda: _remove(strikes, mine))
+
+    def _reset_before(self, fault: Fault) -> None:
+        self._strike(fault, 0.0)
+
+    def _reset_within(self, fault: Fault) -> None:
+        self._strike(fault, 0.1 + 0.8 * fault.level)
+
+    def _reset_after(self, fault: Fault) -> None:
+        self._strike(fault, 1.0)
+
+    def _reset_answer(self, fault: Fault) -> None:
+        self._strike(fault, (0.0, 0.5, 1.0)[fault.target % 3], answers=True)
+
+    def _half_open(self, fault: Fault) -> None:
+        server = self._server(fault)
+        if server is not None:
+            self._cut_off(server.loop.host, fault.span_ms)
+
+    def _cut_off(self, host: str, span_ms: int) -> None:
+        world = self._world
+        world.network.weather.silent.add(host)
+
+        def back() -> None:
+            world.network.weather.silent.discard(host)
+            world.network.back(host)
+
+        self._for(span_ms, back)
+
+    # ------------------------------------------------------------ servers
+
+    def _silent(self, fault: Fault) -> None:
+        """Machines vanish at once; they come back with new processes that know nothing."""
+        world = self._world
+        servers = world.servers[self._tier(fault)]
+        count = max(1, int(SILENT_PART * len(servers)))
+        first = fault.target % len(servers) if servers else 0
+        chosen = [servers[(first + i) % len(servers)] for i in range(count)] if len(servers) > 1 else []
+        for server in chosen:
+            host = server.loop.host
+            world.network.weather.silent.add(host)
+            self._for(fault.span_ms, partial(self._back_cold, server, fault))
+
+    def _back_cold(self, server: StandInServer, fault: Fault) -> None:
+        world = self._world
+        host = server.loop.host
+        for transport in [t for t in world.network.open if t.host == host]:
+            transport.deaf = True
+            transport.peer.deaf = True
+        world.network.weather.silent.discard(host)
+        world.network.back(host)
+        if server in world.servers[server.tier]:
+            self._replace(server, fault, server.name)
+
+    def _replace(self, server: StandInServer, fault: Fault, name: str) -> None:
+        """A cold process takes the place of a server, at its address; discovery tells later."""
+        world = self._world
+        tier, address = server.tier, server.address
+        world.stop_server(server)
+        row = world.row(tier, name, address, world.scheduler.now)
+        world.start_server(tier, row, cold=True)
+        rows = [row]
+        if name != server.name:
+            rows.insert(0, {**world.row(tier, server.name, address, 0), "lifecycle": "DELETED"})
+        world.publish(tier, rows, world.list_delay(fault))
+
+    def _crash(self, fault: Fault) -> None:
+        server = self._server(fault)
+        if server is None:
+            return
+        server.trouble.draining = True  # not to be picked again
+        server.loop.kill()
+        self._for(fault.span_ms, partial(self._replace, server, fault, server.name))
+
+    def _reuse(self, fault: Fault) -> None:
+        server = self._server(fault)
+        if server is None:
+            return
+        server.trouble.draining = True
+        server.loop.kill()
+        name, _ = self._world.new_server_name(server.tier)
+        self._for(fault.span_ms, partial(self._replace, server, fault, name))
+
+    def _drain(self, fault: Fault) -> None:
+        """Discovery tells that a server drains; some turn calls away before that is told. Then it goes."""
+        world = self._world
+        server = self._server(fault)
+        if server is None:
+            return
+        tier = server.tier
+        draining = world.row(tier, server.name, server.address, server.started_us, "DRAINING")
+        if server.started_us < 0:
+            draining["startedAtMs"] = 0
+        delay = world.list_delay(fault)
+        world.publish(tier, [draining], delay)
+        if fault.target % 2:
+            server.trouble.draining = True
+        self._later(delay * 1000, lambda: setattr(server.trouble, "draining", True))
+
+        leaving = server
+
+        def go() -> None:
+            world.stop_server(leaving)
+            name, address = world.new_server_name(tier)
+            row = world.row(tier, name, address, world.scheduler.now)
+            world.start_server(tier, row, cold=True)
+            world.publish(tier, [{**draining, "lifecycle": "DELETED"}], 10)
+            world.publish(tier, [row], world.list_delay(fault))
+
+        self._for(delay + int(1000 * DRAIN_S) + fault.span_ms, go)
+
+    def _slow(self, fault: Fault) -> None:
+        self._with_trouble(fault, "slow", 2.0 + 10.0 * fault.level)
+
+    def _slow_all(self, fault: Fault) -> None:
+        for server in self._world.servers[self._tier(fault)]:
+            trouble = server.trouble
+            trouble.slow = 1.3 + 1.7 * fault.level
+            self._for(fault.span_ms, partial(setattr, trouble, "slow", 1.0))
+
+    def _full(self, fault: Fault) -> None:
+        self._with_trouble(fault, "full", True)
+
+    def _errors(self, fault: Fault) -> None:
+        self._with_trouble(fault, "errors", 0.1 + 0.9 * fault.level)
+
+    def _spoilt(self, fault: Fault) -> None:
+        self._with_trouble(fault, "spoilt", 0.1 + 0.9 * fault.level)
+
+    def _surplus(self, fault: Fault) -> None:
+        self._with_trouble(fault, "surplus", 0.2 + 0.8 * fault.level)
+
+    def _hang(self, fault: Fault) -> None:
+        server = self._server(fault)
+        if server is not None:
+            server.trouble.hang = True
+
+            def wake() -> None:
+                if server.loop.alive:
+                    with server.loop.running():
+                        server.wake()
+
+            self._for(fault.span_ms, wake)
+
+    def _close_idle(self, fault: Fault) -> None:
+        self._with_trouble(fault, "close_idle", True)
+
+    # ------------------------------------------------------------ discovery
+
+    def _list_down(self, fault: Fault) -> None:
+        for discovery in self._world.discoveries:
+            if discovery.loop.alive:
+                discovery.go_down()
+                self._for(fault.span_ms, discovery.come_up)
+
+    def _list_silent(self, fault: Fault) -> None:
+        discovery = self._world.discoveries[self._tier(fault)]
+        self._cut_off(discovery.loop.host, fault.span_ms)
+
+    def _list_late(self, fault: Fault) -> None:
+        late = int(500 + 4000 * fault.level)
+        self.list_late_ms += late
+        self._for(fault.span_ms, lambda: setattr(self, "list_late_ms", self.list_late_ms - late))
+
+    def _list_back(self, fault: Fault) -> None:
+        discovery = self._world.discoveries[self._tier(fault)]
+        discovery.tell_past(fault.target)
+        self._for(fault.span_ms, lambda: discovery.tell_present() if discovery.loop.alive else None)
+
+    def _list_garbage(self, fault: Fault) -> None:
+        self._world.discoveries[self._tier(fault)].tell_garbage()
+
+    def _list_moved(self, fault: Fault) -> None:
+        world = self._world
+        tier = self._tier(fault)
+        old = world.discoveries[tier]
+        if not old.loop.alive or old.loop.host in world.network.weather.silent:
+            return
+        host = f"10.9.{tier}.{2 + fault.target % 200}"
+        if host == old.loop.host:
+            return
+        new = world.discoveries[tier] = world.start_discovery(tier, host)
+        for node in world.nodes:
+            if node.tier == tier and node.loop is not None:
+                world.write_config(node, new.address, 1, old.registry.listing())
+                node.loop.signal(signal.SIGHUP)
+        self._later(int(500_000 + 2_000_000 * fault.level), old.loop.kill)
+
+    # ------------------------------------------------------------ nodes
+
+    def _node_killed(self, fault: Fault) -> None:
+        node = self._front_node(fault)
+        if node is None:
+            return
+        known = self._list_of(node, fault)
+        self._world.end_node(node)
+        self._notice(node, DEAD_NOTICED_US, fault)
+        self._for(fault.span_ms, partial(self._start_again, node, known))
+
+    def _node_restart(self, fault: Fault) -> None:
+        """SIGTERM; the front hears soon, the process ends by itself or is killed, and starts again."""
+        node = self._front_node(fault)
+        if node is None or node.loop is None or node.name not in self._world.front.nodes:
+            return
+        world, loop = self._world, node.loop
+        known = self._list_of(node, fault)
+        loop.signal(signal.SIGTERM)
+        self._notice(node, TERM_ANNOUNCED_US, fault)
+
+        restarting = node
+
+        def again() -> None:
+            node = restarting
+            if node.loop is loop:
+                # SIGKILL comes later than the longest deadline: what it finds unanswered was taken and lost.
+                world.oracle.report("crash", f"{node.name} had not ended 5 s after SIGTERM")
+                return
+            self._start_again(node, known)
+
+        self._later((5_000 + fault.span_ms) * 1000, again)
+
+    def _notice(self, node: NodeHost, span_us: tuple[int, int], fault: Fault) -> None:
+        """The front stops sending there, after a while."""
+        low, high = span_us
+        front, starts = self._world.front, node.starts
+        self._later(
+            int(low + (high - low) * fault.level),
+            lambda: _discard(front.nodes, node.name) if node.starts == starts else None,
+        )
+
+    def _list_of(self, node: NodeHost, fault: Fault) -> dict[str, object]:
+        """The list that a node will start from: as it is, or a past one."""
+        registry = self._world.registries[node.tier]
+        if fault.target % 2 or not registry.past:
+            return registry.listing()
+        version, rows = registry.past[fault.target % len(registry.past)]
+        return {"generation": version, "reset": True, "instances": rows}
+
+    def _start_again(self, node: NodeHost, known: dict[str, object]) -> None:
+        world = self._world
+        if node.loop is not None:
+            return
+        world.front.nodes.pop(node.name, None)
+        world.start_node(node, known)
+        with world.callers.loop.running():
+            world.callers.look_for(node.name, node.address)
+
+    def _node_reload(self, fault: Fault) -> None:
+        node = self._front_node(fault)
+        if node is not None and node.loop is not None:
+            good = node.files["config.json"]
+            if fault.target % 2:
+                node.files["config.json"] = good[: int(fault.level * len(good))]
+                self._for(50, lambda: node.files.update({"config.json": good}))
+            node.loop.signal(signal.SIGHUP)
+
+    def _node_frozen(self, fault: Fault) -> None:
+        node = self._pick([n for n in self._world.nodes if n.loop is not None], fault)
+        if node is not None and node.loop is not None:
+            node.loop.frozen_until = self._world.scheduler.now + fault.span_ms * 1000
+
+    # ------------------------------------------------------------ callers
+
+    def _leave(self, fault: Fault) -> None:
+        self._with_manners(fault, "leave", 0.1 + 0.5 * fault.level)
+
+    def _flood(self, fault: Fault) -> None:
+        self._with_manners(fault, "rate", 2.0 + 4.0 * fault.level)
+
+    def _rude(self, fault: Fault) -> None:
+        self._with_manners(fault, "rude", 0.05 + 0.4 * fault.level)
+
+    def _pipeline(self, fault: Fault) -> None:
+        self._with_manners(fault, "pipeline", 0.05 + 0.2 * fault.level)
+
+    def _slow_reader(self, fault: Fault) -> None:
+        self._with_manners(fault, "slow_reader", 0.05 + 0.2 * fault.level)
+
+
+def _discard(items: dict[str, T], name: str) -> None:
+    items.pop(name, None)
+
+
+def _remove(strikes: list[Strike], mine: list[Strike]) -> None:
+    for strike in mine:
+        if strike in strikes:
+            strikes.remove(strike)
--- /dev/null
+++ b/leadrudder/simulation/loop.py
@@ -0,0 +1,231 @@
+"""An event loop on virtual time: asyncio's interface, one for each simulated process.
+
+It has what a node uses, and raises NotImplementedError for the rest, as asyncio's own base class does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import weakref
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Any
+
+from leadrudder.simulation.scheduler import MICROSECONDS, Process, Scheduler, Step
+
+if TYPE_CHECKING:
+    from leadrudder.simulation.network import Network, VirtualServer, VirtualTransport
+
+GRAIN = 1000  # microseconds: uvloop's timers and its clock count whole milliseconds
+
+
+class VirtualHandle(asyncio.TimerHandle):
+    """A callback that waits for its instant."""
+
+    __slots__ = ("step",)
+
+    def __init__(
+        self,
+        due: int,
+        callback: Callable[..., object],
+        args: tuple[Any, ...],
+        loop: VirtualLoop,
+        context: contextvars.Context | None,
+    ) -> None:
+        # The base class asks the loop for debug flags and a traceback; a million times that is felt.
+        self._callback = callback
+        self._args = args
+        self._cancelled = False
+        self._loop = loop
+        self._context = contextvars.copy_context() if context is None else context
+        self._when = due / MICROSECONDS
+        self._scheduled = False
+        self.step: Step | None = None
+
+    def cancel(self) -> None:
+        if not self._cancelled:
+            self._cancelled = True
+            step = self.step
+            if step is not None and not step.cancelled:
+                step.cancelled = True
+                if self._scheduled:
+                    self._loop.timers -= 1
+            self._callback = _nothing
+            self._args = ()
+
+    def run(self) -> None:
+        """What the step does."""
+        if self._scheduled:
+            self._loop.timers -= 1
+        self._context.run(self._callback, *self._args)
+
+
+def _nothing() -> None:
+    """Stands where a cancelled callback was, so that it keeps nothing alive."""
+
+
+class VirtualLoop(asyncio.AbstractEventLoop, Process):
+    """The loop of one process, and the process itself: killed, it runs no callback any more."""
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        scheduler: Scheduler,
+        network: Network,
+        on_fault: Callable[[VirtualLoop, str], None],
+    ) -> None:
+        Process.__init__(self, name, scheduler.new_process_number())
+        self.host = host
+        self.scheduler = scheduler
+        self.network = network
+        self.timers = 0  # live ones
+        self.transports: dict[VirtualTransport, None] = {}
+        self.servers: dict[VirtualServer, None] = {}
+        self._signals: dict[int, tuple[Callable[..., object], tuple[Any, ...]]] = {}
+        self._tasks: weakref.WeakSet[asyncio.Task[Any]] = weakref.WeakSet()
+        self._on_fault = on_fault
+
+    # ------------------------------------------------------------ running
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        """Code within is this process's: get_running_loop() returns its loop."""
+        before = asyncio._get_running_loop()
+        asyncio._set_running_loop(self)
+        try:
+            yield
+        finally:
+            asyncio._set_running_loop(before)
+
+    def enter(self, step: Step) -> None:
+        asyncio._set_running_loop(self)
+        try:
+            step.call(*step.args)
+        except Exception as error:  # asyncio would log it and go on: here it is a finding
+            self._on_fault(self, f"{step.label}: {type(error).__name__}: {error}")
+        finally:
+            asyncio._set_running_loop(None)
+
+    def tasks(self) -> list[asyncio.Task[Any]]:
+        """Those that have not ended."""
+        return [task for task in self._tasks if not task.done()]
+
+    def kill(self) -> None:
+        """End at once, as by SIGKILL: no callback runs any more, and the machine closes what was open."""
+        if not self.alive:
+            return
+        self.alive = False
+        for server in list(self.servers):
+            server.close()
+        for transport in list(self.transports):
+            transport.process_died()
+        for task in self.tasks():
+            task._log_destroy_pending = False  # type: ignore[attr-defined]  # it is meant to be left behind
+
+    def signal(self, number: int) -> None:
+        """Deliver a signal that the process handles; without a handler it dies."""
+        found = self._signals.get(number)
+        if found is None:
+            self.kill()
+        else:
+            self.scheduler.timer(self.scheduler.now, self, f"signal {number}", found[0], *found[1])
+
+    # ------------------------------------------------------------ asyncio's interface
+
+    def time(self) -> float:
+        return (self.scheduler.now // GRAIN * GRAIN) / MICROSECONDS
+
+    def call_soon(  # type: ignore[override]
+        self, callback: Callable[..., object], *args: Any, context: contextvars.Context | None = None
+    ) -> asyncio.Handle:
+        scheduler = self.scheduler
+        handle = VirtualHandle(scheduler.now, callback, args, self, context)
+        handle.step = scheduler.soon(self, _label(callback), handle.run)
+        return handle
+
+    def call_later(  # type: ignore[override]
+        self,
+        delay: float,
+        callback: Callable[..., object],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
+        wait = round(delay * MICROSECONDS / GRAIN) * GRAIN
+        due = self.scheduler.now // GRAIN * GRAIN + wait if wait > 0 else self.scheduler.now
+        return self._timer(due, callback, args, context)
+
+    def call_at(  # type: ignore[override]
+        self,
+        when: float,
+        callback: Callable[..., object],
+        *args: Any,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
+        return self.call_later(when - self.time(), callback, *args, context=context)
+
+    def _timer(
+        self,
+        due: int,
+        callback: Callable[..., object],
+        args: tuple[Any, ...],
+        context: contextvars.Context | None,
+    ) -> asyncio.TimerHandle:
+        handle = VirtualHandle(due, callback, args, self, context)
+        handle._scheduled = True
+        self.timers += 1
+        handle.step = self.scheduler.timer(due, self, _label(callback), handle.run)
+        return handle
+
+    def create_future(self) -> asyncio.Future[Any]:
+        return asyncio.Future(loop=self)
+
+    def create_task(
+        self,
+        coro: Any,
+        *,
+        name: str | None = None,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.Task[Any]:
+        task: asyncio.Task[Any] = asyncio.Task(coro, loop=self, name=name, context=context)
+        self._tasks.add(task)
+        return task
+
+    def spawn(self, coro: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """A task of this process, begun from outside of it."""
+        with self.running():
+            return self.create_task(coro)
+
+    async def create_connection(
+        self, protocol_factory: Any, host: Any = None, port: Any = None, **_: Any
+    ) -> Any:
+        return await self.network.connect(self, protocol_factory, (host, port))
+
+    async def create_server(self, protocol_factory: Any, host: Any = None, port: Any = None, **_: Any) -> Any:
+        return self.network.listen(self, protocol_factory, (host, port))
+
+    def add_signal_handler(  # type: ignore[override]
+        self, sig: int, callback: Callable[..., object], *args: Any
+    ) -> None:
+        self._signals[sig] = (callback, args)
+
+    def remove_signal_handler(self, sig: int) -> bool:
+        return self._signals.pop(sig, None) is not None
+
+    def get_debug(self) -> bool:
+        return False
+
+    def is_running(self) -> bool:
+        return self.alive
+
+    def is_closed(self) -> bool:
+        return not self.alive
+
+    def call_exception_handler(self, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        self._on_fault(self, f"{context.get('message')}: {type(error).__name__}: {error}")
+
+
+def _label(callback: Callable[..., object]) -> str:
+    return getattr(callback, "__qualname__", None) or type(callback).__name__
--- /dev/null
+++ b/leadrudder/simulation/site.py
@@ -0,0 +1,124 @@
+"""The site that is rehearsed: classes, settings and figures, drawn from the seed within what sites really
+have."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from leadrudder.simulation.oracle import Terms
+
+CLASSES = ("haku", "siirto", "varaus")  # safe, keyed and unsafe
+TENANTS = (("kampaamo", 0.5), ("hierojat", 0.3), ("korjaamo", 0.2))
+ZONES = ("sali-1", "sali-2")
+MODELS = ("vakio", "hidas")
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """What one world is like. Times in milliseconds."""
+
+    tiers: int
+    nodes: int  # of the front
+    servers: tuple[int, ...]  # of each tier
+    pushed: bool
+    may_duplicate: bool
+    group: str
+    window_ms: float
+    attempts: int
+    cold_ms: float
+    conn_idle_ms: float
+    rate: float  # callers' requests a second
+    work_ms: float  # mean, on one core of a usual machine
+    queue: int  # calls that may wait at a server
+
+    @classmethod
+    def draw(cls, seed: str, nodes: int) -> Site:
+        """A site of this many nodes in the front tier; what is left open comes from the seed."""
+        rng = random.Random(f"{seed}/site")
+        tiers = rng.choices((1, 2, 3), (0.6, 0.3, 0.1))[0]
+        first = rng.randint(3, 8) if tiers == 1 else rng.randint(2, 4)
+        servers = tuple(first + rng.randint(0, 2) * tier for tier in range(tiers))
+        work = rng.uniform(10.0, 40.0)
+        load = rng.uniform(0.2, 0.7)
+        return cls(
+            tiers=tiers,
+            nodes=nodes,
+            servers=servers,
+            pushed=rng.random() < 0.3,
+            may_duplicate=rng.random() < 0.7,
+            group=rng.choices(("all", "zone", "cell"), (0.6, 0.2, 0.2))[0],
+            window_ms=rng.choice((7500.0, 7500.0, 1500.0)),
+            attempts=rng.randint(2, 5),
+            cold_ms=rng.choice((1000.0, 4000.0, 8800.0)),
+            conn_idle_ms=rng.choice((1000.0, 5000.0, 15000.0)),
+            rate=load * first * 1000.0 / work / tiers,
+            work_ms=work,
+            queue=rng.choice((4, 20, 60)),
+        )
+
+    def profiles(self) -> list[dict[str, Any]]:
+        """The classes as the settings hold them."""
+        return [
+            {"name": "haku", "effect": "safe", "aimMs": 1000.0, "deadlineMs": 3000.0, "worth": 1.0},
+            {
+                "name": "siirto",
+                "effect": "keyed",
+                "aimMs": 2000.0,
+                "deadlineMs": 5000.0,
+                "worth": 3.0,
+                "group": self.group,
+                "windowMs": self.window_ms,
+            },
+            {"name": "varaus", "effect": "unsafe", "aimMs": 1500.0, "deadlineMs": 4000.0, "worth": 9.0},
+        ]
+
+    def settings(self, tier: int, ordinal: int) -> dict[str, Any]:
+        """A node's settings, nested as in its configuration."""
+        return {
+            "azs": list(ZONES),
+            "balancers": self.nodes if tier == 0 else self.servers[tier - 1],
+            "ordinal": ordinal,
+            "stage": tier,
+            "layers": [f"tier-{i}" for i in range(self.tiers)],
+            "models": list(MODELS),
+            "guarantees": {
+                "answerSlackMs": 20.0,
+                "coldMs": self.cold_ms,
+                "fallMultiple": 4.0,
+                "mustAskInMs": 2000.0,
+                "overloadForMs": 1000.0,
+                "startCapacity": 0.3,
+                "stopSendingWithinMs": 250.0,
+            },
+            "policyLimits": {
+                "cancel": True,
+                "connIdleMs": self.conn_idle_ms,
+                "connectTimeoutMs": 250.0,
+                "maxRetryAfterMs": 1000.0,
+                "mayDuplicate": self.may_duplicate,
+                "probes": True,
+                "retryAfter": True,
+                "tryLimit": self.attempts,
+            },
+            "profiles": self.profiles(),
+            "registryMode": "pushed" if self.pushed else "on_request",
+            "tenants": [{"name": n, "fraction": f, "quotaPerS": f * self.rate} for n, f in TENANTS],
+            "overShareWorth": 0.05,
+            "tickMs": 1.0,
+            "weights": "nominal",
+        }
+
+    def terms(self) -> Terms:
+        """The same, as the oracle needs it."""
+        profiles = self.profiles()
+        return Terms(
+            effects={p["name"]: p["effect"] for p in profiles},
+            groups={p["name"]: p.get("group", "all") for p in profiles},
+            windows_us={p["name"]: int(1000 * p.get("windowMs", 0.0)) for p in profiles},
+            grace_us=250_000,
+            must_ask_us=0 if self.pushed else 2_000_000,
+            most_attempts=self.attempts,
+            may_duplicate=self.may_duplicate,
+        )
--- /dev/null
+++ b/leadrudder/simulation/standins/__init__.py
@@ -0,0 +1,2 @@
+"""Stand-ins for what surrounds a node: clients, servers and discovery, each a process of the simulated
+network."""
--- /dev/null
+++ b/leadrudder/simulation/standins/callers.py
@@ -0,0 +1,269 @@
+"""The clients of the front: what they ask, how they retry, how they leave, and those that are no clients at
+all.
+
+They follow the protocol's terms: a new id for every try, two retries after a wait, unsafe operations tried
+again only after a refusal, keyed ones only while their key is surely remembered.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import cast
+
+from leadrudder.simulation.framing import Frame, request
+from leadrudder.simulation.loop import VirtualLoop
+from leadrudder.simulation.network import Address, VirtualTransport
+from leadrudder.simulation.oracle import Oracle
+from leadrudder.simulation.scheduler import MICROSECONDS
+from leadrudder.simulation.site import CLASSES, TENANTS, Site
+from leadrudder.simulation.standins.client import Call, NodeClient
+
+RETRIES = 2
+SHARES = (0.1, 0.48, 0.42)  # of the classes
+SLOW_READ_S = 1.5
+LARGE = 0.01
+LARGE_BODY = 50_000
+READY_S = 0.1  # between two looks at a node that started
+
+
+@dataclass
+class Manners:
+    """How callers behave now; parts are of what they do."""
+
+    rate: float = 1.0  # times the usual
+    leave: float = 0.0
+    rude: float = 0.0
+    pipeline: float = 0.0
+    slow_reader: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Operation:
+    """What a customer wants done, over all its tries."""
+
+    name: str
+    path: str
+    key: str
+    tenant: str
+    began_us: int
+    tries: int = 0
+
+
+class Front:
+    """The layer that deals out connections among the nodes: it takes a node in once /ready has answered
+    200."""
+
+    def __init__(self) -> None:
+        self.nodes: dict[str, Address] = {}
+
+    def choose(self, rng: random.Random) -> tuple[str, Address] | None:
+        return rng.choice(list(self.nodes.items())) if self.nodes else None
+
+
+class Callers:
+    """All clients, as one process."""
+
+    def __init__(self, loop: VirtualLoop, oracle: Oracle, site: Site, front: Front, seed: str) -> None:
+        self.loop = loop
+        self.oracle = oracle
+        self.site = site
+        self.front = front
+        self.manners = Manners()
+        self.open = 0  # operations that wait for an answer or a retry
+        self._rng = random.Random(f"{seed}/callers")
+        self._clients: dict[Address, NodeClient] = {}
+        self._number = 0
+        self._coming = False
+        self._deadlines = {p["name"]: p["deadlineMs"] / 1000.0 for p in site.profiles()}
+
+    # ------------------------------------------------------------ arrivals
+
+    def start(self) -> None:
+        self._coming = True
+        self._plan()
+
+    def stop(self) -> None:
+        """No new operation; connections that are idle close."""
+        self._coming = False
+        for client in self._clients.values():
+            client.close()
+        self._clients.clear()
+
+    def _plan(self) -> None:
+        rate = self.site.rate * self.manners.rate
+        self.loop.call_later(self._rng.expovariate(rate), self._come)
+
+    def _come(self) -> None:
+        if not self._coming:
+            return
+        self._plan()
+        rng, manners = self._rng, self.manners
+        if rng.random() < manners.rude:
+            self._be_rude(self._rude_bytes())
+            return
+        if rng.random() < manners.pipeline:
+            self._be_rude(b"".join(self._request(self._operation())[0] for _ in range(rng.randint(2, 20))))
+            return
+        if rng.random() < manners.slow_reader:
+            self._be_rude(self._request(self._operation())[0], slow=True)
+            return
+        self.open += 1
+        self._try(self._operation())
+
+    def _operation(self) -> Operation:
+        rng = self._rng
+        self._number += 1
+        name = rng.choices(CLASSES, SHARES)[0]
+        tenant = rng.choices([t[0] for t in TENANTS], [t[1] for t in TENANTS])[0]
+        return Operation(
+            name, f"/api/{name}-{self._number}", f"k{self._number}", tenant, self.loop.scheduler.now
+        )
+
+    def _request(self, operation: Operation) -> tuple[bytes, float]:
+        rng = self._rng
+        timeout = self._deadlines[operation.name] * rng.uniform(0.5, 0.8)
+        headers = {
+            "X-Request-Id": f"{rng.getrandbits(64):016x}",
+            "X-Class": operation.name,
+            "X-Tenant": operation.tenant,
+            "X-Deadline": f"{timeout:.3f}",
+        }
+        if operation.name == "siirto":
+            headers["Idempotency-Key"] = operation.key
+        if operation.tries:
+            headers["X-Retry"] = "1"
+        if rng.random() < 0.5:
+            headers["X-Cost-Hint"] = f"{rng.uniform(0.5, 2.0) * self.site.work_ms * 1000:.0f}"
+        if operation.name == "haku":
+            return request("GET", operation.path, headers), timeout
+        size = LARGE_BODY if rng.random() < LARGE else rng.randrange(200)
+        return request("POST", operation.path, headers, b"x" * size), timeout
+
+    # ------------------------------------------------------------ tries
+
+    def _try(self, operation: Operation) -> None:
+        if not self._coming:
+            self._end()
+            return
+        found = self.front.choose(self._rng)
+        if found is None:
+            self._again(operation, 0.2)
+            return
+        operation.tries += 1
+        data, timeout = self._request(operation)
+        client = self._clients.get(found[1])
+        if client is None:
+            client = self._clients[found[1]] = NodeClient(self.loop, found[1])
+        call = client.ask(data, timeout, lambda frame, why: self._answered(operation, frame, why))
+        if self._rng.random() < self.manners.leave:
+            self.loop.call_later(self._rng.random() * 0.3, client.give_up, call, "left")
+
+    def _answered(self, operation: Operation, frame: Frame | None, why: str) -> None:
+        what = str(frame.status) if frame is not None else why
+        self.oracle.count(f"client_{what}")
+        if frame is not None and frame.status == 200:
+            self.oracle.count("served")
+            self._end()
+        elif why == "left":
+            self._end()
+        elif frame is not None and frame.status in (429, 503):
+            wait = float(frame.headers.get("retry-after", "0.05"))
+            self._again(operation, wait * self._rng.uniform(1.0, 1.5) + 0.01)
+        elif why == "refused" or self._may_repeat(operation):
+            self._again(operation, self._rng.uniform(0.1, 0.4))
+        else:
+            self._end()
+
+    def _may_repeat(self, operation: Operation) -> bool:
+        """Whether trying again after a failure is harmless: the key outlives the whole next try."""
+        if operation.name == "haku":
+            return True
+        if operation.name == "varaus" or self.site.group != "all":
+            return False
+        next_us = (self._deadlines[operation.name] + 0.5) * MICROSECONDS
+        return bool(self.loop.scheduler.now + next_us < operation.began_us + self.site.window_ms * 1000)
+
+    def _again(self, operation: Operation, wait_s: float) -> None:
+        if operation.tries > RETRIES or not self._coming:
+            self._end()
+            return
+        if operation.name == "siirto" and not self._may_repeat(operation) and operation.tries:
+            self._end()
+            return
+        if not operation.tries and self.loop.scheduler.now - operation.began_us > 3 * MICROSECONDS:
+            self._end()  # there has been no node for so long
+            return
+        self.loop.call_later(wait_s, self._try, operation)
+
+    def _end(self) -> None:
+        self.open -= 1
+
+    def look_for(self, name: str, address: Address) -> None:
+        """Ask a node that has started whether it is ready, until it is or another starts in its place."""
+        client = NodeClient(self.loop, address)
+
+        def ask() -> Call:
+            return client.ask(request("GET", "/ready", {}), 1.0, heard)
+
+        def heard(frame: Frame | None, _: str) -> None:
+            if frame is not None and frame.status == 200:
+                client.close()
+                self.front.nodes[name] = address
+            elif self._coming:
+                self.loop.call_later(READY_S, ask)
+
+        ask()
+
+    # ------------------------------------------------------------ others
+
+    def _rude_bytes(self) -> bytes:
+        rng = self._rng
+        good = self._request(self._operation())[0]
+        return rng.choice(
+            (
+                good[: rng.randrange(len(good))],
+                b"\x16\x03\x01garbage" * 10,
+                good.replace(b"X-Class", b"X-Klass"),
+                good.replace(b"HTTP/1.1", b"HTTP/9.9"),
+                b"GET / HTTP/1.1\r\n" + b"A: " + b"b" * 20_000 + b"\r\n\r\n",
+                good.replace(b"X-Deadline: ", b"X-Deadline: -"),
+                b"POST /api/x HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+                b"",
+            )
+        )
+
+    def _be_rude(self, data: bytes, *, slow: bool = False) -> None:
+        found = self.front.choose(self._rng)
+        if found is not None:
+            self.loop.spawn(self._open_rude(found[1], data, slow))
+
+    async def _open_rude(self, address: Address, data: bytes, slow: bool) -> None:
+        stay = self._rng.uniform(0.05, 4.0)
+        try:
+            _, protocol = await self.loop.create_connection(
+                lambda: _Rude(self.loop, data, stay, slow), *address
+            )
+        except OSError:
+            return
+        assert isinstance(protocol, _Rude)
+
+
+class _Rude(asyncio.Protocol):
+    """A connection that writes what it was given, and leaves after a while."""
+
+    def __init__(self, loop: VirtualLoop, data: bytes, stay_s: float, slow: bool) -> None:
+        self._loop = loop
+        self._data = data
+        self._stay_s = stay_s
+        self._slow = slow
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(VirtualTransport, transport)
+        self._transport.write(self._data)
+        if self._slow:
+            self._transport.pause_reading()
+            self._loop.call_later(SLOW_READ_S, self._transport.resume_reading)
+            self._stay_s += SLOW_READ_S
+        self._loop.call_later(self._stay_s, self._transport.abort)
--- /dev/null
+++ b/leadrudder/simulation/standins/discovery.py
@@ -0,0 +1,147 @@
+"""A stand-in for discovery: versions, watches, and what goes wrong with them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from typing import Any, cast
+from urllib.parse import parse_qs, urlsplit
+
+from leadrudder.simulation.framing import Frame, Framing, answer, chunk
+from leadrudder.simulation.loop import VirtualLoop
+from leadrudder.simulation.network import Address, VirtualTransport
+
+PULSE_S = 2.0
+KEPT = 64  # versions whose changes are remembered
+
+Row = dict[str, Any]
+
+
+@dataclass
+class Registry:
+    """What discovery knows of one tier, by version."""
+
+    rows: dict[str, Row] = field(default_factory=dict)
+    version: int = 1
+    changes: list[tuple[int, list[Row]]] = field(default_factory=list)
+    past: list[tuple[int, list[Row]]] = field(default_factory=list)  # whole lists
+
+    def change(self, rows: list[Row]) -> None:
+        """A new version: these rows are as given, DELETED ones gone."""
+        self.past = [*self.past[-KEPT:], (self.version, self.whole())]
+        self.version += 1
+        for row in rows:
+            if row["lifecycle"] == "DELETED":
+                self.rows.pop(row["instanceId"], None)
+            else:
+                self.rows[row["instanceId"]] = row
+        self.changes = [*self.changes[-KEPT:], (self.version, rows)]
+
+    def whole(self) -> list[Row]:
+        return list(self.rows.values())
+
+    def listing(self) -> dict[str, Any]:
+        """The whole list, in discovery's form."""
+        return {"generation": self.version, "reset": True, "instances": self.whole()}
+
+    def since(self, version: int) -> dict[str, Any] | None:
+        """What changed after a version; the whole list where that is not known any more; None for no
+        change."""
+        if version == self.version:
+            return None
+        if version > self.version or not self.changes or version < self.changes[0][0] - 1:
+            return self.listing()
+        rows = [row for at, changed in self.changes if at > version for row in changed]
+        return {"generation": self.version, "reset": False, "instances": rows}
+
+
+class _Watch(asyncio.Protocol):
+    """One connection; a watch once it has asked for one."""
+
+    def __init__(self, discovery: StandInDiscovery) -> None:
+        self._discovery = discovery
+        self._framing = Framing(answers=False)
+        self._timer: asyncio.TimerHandle | None = None
+        self.transport: VirtualTransport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(VirtualTransport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        for frame in self._framing.feed(data):
+            self._asked(frame)
+
+    def _asked(self, frame: Frame) -> None:
+        parts = urlsplit(frame.target)
+        query = parse_qs(parts.query)
+        registry = self._discovery.registry
+        if "watch" not in query:
+            self.transport.write(answer(200, json.dumps(registry.listing()).encode()))
+            return
+        self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self._discovery.watches[self] = None
+        news = registry.since(int(query.get("from", ["0"])[0]))
+        self.tell(json.dumps(news).encode() if news is not None else b"")
+        self._pulse()
+
+    def _pulse(self) -> None:
+        self._timer = self._discovery.loop.call_later(PULSE_S, self._beat)
+
+    def _beat(self) -> None:
+        self.tell(b"")
+        self._pulse()
+
+    def tell(self, line: bytes) -> None:
+        """One line of the watch."""
+        self.transport.write(chunk(line + b"\n"))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._discovery.watches.pop(self, None)
+        if self._timer is not None:
+            self._timer.cancel()
+
+
+class StandInDiscovery:
+    """One process of discovery's; several may serve one registry."""
+
+    def __init__(self, loop: VirtualLoop, address: Address, registry: Registry) -> None:
+        self.loop = loop
+        self.address = address
+        self.registry = registry
+        self.watches: dict[_Watch, None] = {}
+        self._server = loop.network.listen(loop, lambda: _Watch(self), address)
+
+    def announce(self) -> None:
+        """Tell all watches of the last version."""
+        _, rows = self.registry.changes[-1]
+        self._tell({"generation": self.registry.version, "reset": False, "instances": rows})
+
+    def tell_past(self, back: int) -> None:
+        """A list of the past, whole, as a replica tells it that lags behind."""
+        past = self.registry.past
+        if past:
+            version, rows = past[-1 - back % len(past)]
+            self._tell({"generation": version, "reset": True, "instances": rows})
+
+    def tell_present(self) -> None:
+        self._tell(self.registry.listing())
+
+    def tell_garbage(self) -> None:
+        for watch in list(self.watches):
+            watch.tell(b'{"generation": 1, "instances": [{"instanceId"')
+
+    def _tell(self, line: dict[str, Any]) -> None:
+        data = json.dumps(line).encode()
+        for watch in list(self.watches):
+            watch.tell(data)
+
+    def go_down(self) -> None:
+        """Reset what is open, refuse what comes."""
+        self._server.close()
+        for watch in list(self.watches):
+            watch.transport.abort()
+
+    def come_up(self) -> None:
+        if not self._server.is_serving():
+            self._server = self.loop.network.listen(self.loop, lambda: _Watch(self), self.address)
--- /dev/null
+++ b/leadrudder/simulation/world.py
@@ -0,0 +1,432 @@
+"""One world: nodes, their surroundings, the fault plan and the oracle, all on one scheduler.
+
+Everything is drawn from the seed; the same seed and plan give the same steps in every process, which the
+digest shows. A world is played to a number of steps, then left alone until it is quiet, and must be empty
+by then.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from leadrudder.node.config import load
+from leadrudder.node.node import Node
+from leadrudder.simulation.faults import Fault, draw
+from leadrudder.simulation.injector import Injector
+from leadrudder.simulation.loop import VirtualLoop
+from leadrudder.simulation.network import Address, Network, VirtualTransport
+from leadrudder.simulation.oracle import Oracle, Violation
+from leadrudder.simulation.scheduler import MICROSECONDS, Scheduler
+from leadrudder.simulation.site import MODELS, ZONES, Site
+from leadrudder.simulation.standins.callers import Callers, Front
+from leadrudder.simulation.standins.discovery import Registry, Row, StandInDiscovery
+from leadrudder.simulation.standins.server import Keys, StandInServer
+
+EPOCH_S = 1_800_000_000.0  # Unix time at which a world begins
+EPISODE_MS = 10_000  # of virtual time, for which faults are drawn at once
+FAULTS = 14  # in an episode
+QUIET_S = 30.0  # after the load, until all is at rest
+LIST_DELAY_MS = (50, 1500)  # until discovery tells of a change
+NODE_PORT, SERVER_PORT, DISCOVERY_PORT = 8000, 8000, 8500
+# At rest: a sweep of callers' and one of servers' connections, the watch's silence, the module's next timer
+# and one to come of a call for the list; the rest is a margin for what is on its way at that moment.
+TIMERS_AT_REST = 16
+MOST_AT_ONE_INSTANT = 5000  # steps: a flood that coincides brings some hundreds
+
+
+class NodePlatform:
+    """The seam's simulated side: the world's clock and the files of one machine."""
+
+    def __init__(self, scheduler: Scheduler, files: dict[str, str]) -> None:
+        self._scheduler = scheduler
+        self._files = files
+
+    def monotonic(self) -> float:
+        return self._scheduler.now / MICROSECONDS
+
+    def wall(self) -> float:
+        return EPOCH_S + self._scheduler.now / MICROSECONDS
+
+    @staticmethod
+    def unread(transport: asyncio.Transport) -> bool:
+        assert isinstance(transport, VirtualTransport)
+        return transport.unread()
+
+    def read_text(self, path: str) -> str:
+        try:
+            return self._files[path]
+        except KeyError:
+            raise FileNotFoundError(2, "no such file", path) from None
+
+
+@dataclass(eq=False)
+class NodeHost:
+    """A machine that runs one node, again and again."""
+
+    name: str
+    tier: int
+    ordinal: int
+    host: str
+    files: dict[str, str] = field(default_factory=dict)
+    loop: VirtualLoop | None = None
+    node: Node | None = None
+    starts: int = 0
+
+    @property
+    def address(self) -> Address:
+        return self.host, NODE_PORT if not self.tier else NODE_PORT + 1  # beside its server
+
+
+class World:
+    """Everything of one play."""
+
+    def __init__(
+        self, seed: str, *, nodes: int = 2, faults: list[Fault] | None = None, kinds: tuple[str, ...] = ()
+    ) -> None:
+        self.seed = seed
+        self.site = Site.draw(seed, nodes)
+        self.scheduler = Scheduler(seed)
+        self.oracle = Oracle(self.scheduler, self.site.terms())
+        self.network = Network(self.scheduler, seed, self.oracle)
+        self.planned: list[Fault] = []  # those that were played so far
+        self.front = Front()
+        self.rng = Random(f"{seed}/world")
+        self.registries = [Registry() for _ in range(self.site.tiers)]
+        self.discoveries: list[StandInDiscovery] = []
+        self.servers: list[list[StandInServer]] = [[] for _ in range(self.site.tiers)]
+        self.nodes: list[NodeHost] = []
+        self.injector = Injector(self)
+        self._given = faults
+        self._kinds = kinds
+        self._keys: dict[Any, Keys] = {}
+        self._everywhere: list[dict[str, int]] = [{} for _ in range(self.site.tiers)]
+        self._numbers = 0
+        self._faults_seen = 0
+        self._build()
+
+    # ------------------------------------------------------------ building
+
+    def process(self, name: str, host: str) -> VirtualLoop:
+        """A new process on a machine."""
+        # Typeshed calls asyncio's base class abstract; what it does not have here raises, as there.
+        return VirtualLoop(  # type: ignore[abstract]
+            name, host, self.scheduler, self.network, self._on_fault
+        )
+
+    def _on_fault(self, loop: VirtualLoop, text: str) -> None:
+        self.oracle.report("exception", f"in {loop.name}: {text}")
+
+    def _build(self) -> None:
+        for tier in range(self.site.tiers):
+            host = f"10.9.{tier}.1"
+            self.discoveries.append(self.start_discovery(tier, host))
+            for _ in range(self.site.servers[tier]):
+                name, address = self.new_server_name(tier)
+                self.registries[tier].rows[name] = self.row(tier, name, address, 0)
+        for tier in reversed(range(self.site.tiers)):
+            for row in self.registries[tier].whole():
+                self.start_server(tier, row, cold=False)
+        for ordinal in range(self.site.nodes):
+            node = NodeHost(f"n{ordinal}", 0, ordinal, f"10.1.0.{ordinal + 1}")
+            self.nodes.append(node)
+            self.start_node(node, self.registries[0].listing())
+        self.callers = Callers(
+            self.process("callers", "10.0.0.1"), self.oracle, self.site, self.front, self.seed
+        )
+        for node in self.nodes:
+            if not node.tier:
+                self.callers.look_for(node.name, node.address)
+        self.callers.start()
+
+    def start_discovery(self, tier: int, host: str) -> StandInDiscovery:
+        loop = self.process(f"discovery-{tier}", host)
+        address = (host, DISCOVERY_PORT)
+        self.oracle.is_discovery(address)
+        return StandInDiscovery(loop, address, self.registries[tier])
+
+    def new_server_name(self, tier: int) -> tuple[str, Address]:
+        self._numbers += 1
+        return f"s{tier}-{self._numbers}", (f"10.2.{tier}.{self._numbers}", SERVER_PORT)
+
+    def row(self, tier: int, name: str, address: Address, started_us: int, lifecycle: str = "SERVING") -> Row:
+        """A server as discovery lists it; zone, kind and cell are those of its machine, whoever runs
+        there."""
+        number = int(address[0].rsplit(".", 1)[1])
+        return {
+            "instanceId": name,
+            "hostPort": f"{address[0]}:{address[1]}",
+            "zone": ZONES[number % 2],
+            "machineType": MODELS[number % 3 == 0],
+            "cell": number % 3,
+            "lifecycle": lifecycle,
+            "weight": 1.0,
+            "startedAtMs": EPOCH_S * 1000 + started_us / 1000 if started_us else 0,
+        }
+
+    def start_server(self, tier: int, row: Row, *, cold: bool) -> StandInServer:
+        """A server's process, and the node beside it where there is a tier behind."""
+        host, port = row["hostPort"].rsplit(":", 1)
+        name = row["instanceId"]
+        loop = self.process(name, host)
+        inner: Address | None = None
+        if tier + 1 < self.site.tiers:
+            inner = self._sidecar(tier + 1, name, host).address
+        group = {"all": 0, "zone": row["zone"], "cell": row["cell"]}[self.site.group]
+        keys = self._keys.setdefault(
+            (tier, group), Keys(int(self.site.window_ms * 1000), self._everywhere[tier])
+        )
+        now = self.scheduler.now
+        server = StandInServer(
+            loop,
+            self.oracle,
+            tier=tier,
+            name=name,
+            address=(host, int(port)),
+            started_us=now if cold else -1_000_000_000,
+            cold_us=int(self.site.cold_ms * 1000),
+            speed=1.0 if row["machineType"] == MODELS[0] else 0.6,
+            queue=self.site.queue,
+            idle_s=self.site.conn_idle_ms / 1000.0,
+            work_ms=self.site.work_ms,
+            effects={p["name"]: p["effect"] for p in self.site.profiles()},
+            keys=keys,
+            inner=inner,
+            seed=self.seed,
+        )
+        self.servers[tier].append(server)
+        return server
+
+    def _sidecar(self, tier: int, name: str, host: str) -> NodeHost:
+        """The node of a server's own: it stops and starts with its server."""
+        found = next((n for n in self.nodes if n.name == f"n-{name}"), None)
+        if found is None:
+            # A sidecar shares its server's machine: what befalls the one befalls the other.
+            found = NodeHost(f"n-{name}", tier, sum(n.tier == tier for n in self.nodes), host)
+            self.nodes.append(found)
+        if found.loop is None:
+            self.start_node(found, self.registries[tier].listing())
+        return found
+
+    # ------------------------------------------------------------ nodes
+
+    def start_node(self, host: NodeHost, known: dict[str, Any]) -> None:
+        """A node's process, as `run` starts it; with the list that it had when it ended."""
+        host.starts += 1
+        loop = host.loop = self.process(f"{host.name}.{host.starts}", host.host)
+        discovery = self.discoveries[host.tier].address
+        seed = Random(f"{self.seed}/node/{host.name}/{host.starts}").getrandbits(64)
+        self.write_config(host, discovery, seed, known)
+        platform = NodePlatform(self.scheduler, host.files)
+        config = load(
+            {
+                "NODE_NAME": host.name,
+                "NODE_LISTEN": f"{host.address[0]}:{host.address[1]}",
+                "NODE_CONFIG": "config.json",
+            },
+            platform,
+        )
+        self.oracle.watch_node(loop, known)
+
+        async def main() -> None:
+            node = host.node = Node(config, platform)
+            await node.start()
+            await node.wait()
+
+        task = loop.spawn(main())
+        task.add_done_callback(lambda done: self._node_ended(host, loop, done))
+
+    def write_config(self, host: NodeHost, discovery: Address, seed: int, known: dict[str, Any]) -> None:
+        """The file that a node reads at its start, and again at SIGHUP."""
+        raw = {
+            "name": host.name,
+            "seed": f"{seed:016x}",
+            "discovery": f"{discovery[0]}:{discovery[1]}",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "known": known,
+            "settings": self.site.settings(host.tier, host.ordinal),
+        }
+        host.files["config.json"] = json.dumps(raw)
+
+    def _node_ended(self, host: NodeHost, loop: VirtualLoop, task: asyncio.Task[Any]) -> None:
+        """Its main coroutine has returned: the process is at its end, and must leave nothing behind."""
+        if task.cancelled() or (error := task.exception()) is None:
+            left = [t for t in loop.tasks() if t is not task]
+            # Told lost by now or at this instant: what is still open after that was forgotten.
+            self.scheduler.timer(self.scheduler.now + 1000, None, "exit", self._exit, host, loop, len(left))
+            return
+        self.oracle.report("crash", f"{host.name}: {type(error).__name__}: {error}")
+        self._exit(host, loop, 0)
+
+    def _exit(self, host: NodeHost, loop: VirtualLoop, tasks: int) -> None:
+        if not loop.alive:
+            return
+        if loop.transports or loop.servers:
+            self.oracle.report("leak", f"{loop.name} ended with {len(loop.transports)} connections open")
+        if loop.tasks():
+            self.oracle.report(
+                "leak", f"{loop.name} ended with {len(loop.tasks())} tasks, {tasks} at its last step"
+            )
+        self.end_node(host)
+
+    def end_node(self, host: NodeHost) -> None:
+        """The process is gone, by itself or by SIGKILL."""
+        loop = host.loop
+        if loop is not None:
+            self.oracle.node_over(loop)
+            loop.kill()
+        host.loop = host.node = None
+
+    # ------------------------------------------------------------ the fleet
+
+    def publish(self, tier: int, rows: list[Row], delay_ms: int) -> None:
+        """Discovery learns of a change and tells it, later."""
+
+        def tell() -> None:
+            self.registries[tier].change(rows)
+            for discovery in self.discoveries:
+                if discovery.registry is self.registries[tier] and discovery.loop.alive:
+                    discovery.announce()
+
+        self.scheduler.timer(self.scheduler.now + delay_ms * 1000, None, "publish", tell)
+
+    def list_delay(self, fault: Fault) -> int:
+        low, high = LIST_DELAY_MS
+        return low + int(fault.level * (high - low)) + self.injector.list_late_ms
+
+    def stop_server(self, server: StandInServer) -> None:
+        """Its process ends, and the node beside it."""
+        if server in self.servers[server.tier]:
+            self.servers[server.tier].remove(server)
+        server.loop.kill()
+        host = next((n for n in self.nodes if n.name == f"n-{server.name}"), None)
+        if host is not None:
+            self.end_node(host)
+            self.nodes.remove(host)
+
+    # ------------------------------------------------------------ playing
+
+    def play(self, steps: int) -> None:
+        """Run so many steps, faults included; ends early at a violation."""
+        end = self.scheduler.steps + steps
+        scheduler, oracle = self.scheduler, self.oracle
+        with _quiet_log(self):
+            while scheduler.steps < end and not oracle.violations:
+                if scheduler.now >= self._faults_seen * 1000:
+                    self._plan_episode()
+                if not scheduler.run_one():
+                    break
+                oracle.after_step()
+                self._check_spin()
+
+    def _plan_episode(self) -> None:
+        start = self._faults_seen
+        self._faults_seen += EPISODE_MS
+        if self._given is None:
+            faults = draw(self.seed, start, EPISODE_MS, FAULTS, self._kinds)
+        else:
+            faults = [f for f in self._given if start <= f.at_ms < self._faults_seen]
+        for fault in faults:
+            self.planned.append(fault)
+            self.scheduler.timer(fault.at_ms * 1000, None, fault.kind, self.injector.begin, fault)
+
+    def settle(self) -> None:
+        """End all faults, send no more, wait until all is quiet, and look whether the nodes are at rest."""
+        if self.oracle.violations:
+            return
+        with _quiet_log(self):
+            self.injector.calm()
+            self.callers.stop()
+            for server in [s for tier in self.servers for s in tier]:
+                server.close_idle()
+            end = self.scheduler.now + int(QUIET_S * MICROSECONDS)
+            while not self.oracle.violations:
+                due = self.scheduler.next_due()
+                if due is None or due > end or not self.scheduler.run_one():
+                    break
+                self.oracle.after_step()
+                self._check_spin()
+            if not self.oracle.violations:
+                self._check_rest()
+
+    def _check_spin(self) -> None:
+        """A process that calls itself again and again at one instant burns its core, and stops the clock
+        here."""
+        if self.scheduler.at_this_instant > MOST_AT_ONE_INSTANT:
+            self.oracle.report(
+                "spin", f"{self.scheduler.at_this_instant} steps at one instant, {self.scheduler.last}"
+            )
+
+    def _check_rest(self) -> None:
+        """Tables, connections, timers and tasks are back at their resting size."""
+        for host in self.nodes:
+            loop, node = host.loop, host.node
+            if loop is None or node is None:
+                continue
+            sizes = {
+                "requests": len(node._requests),
+                "attempts": len(node._calls),
+                "ids held": len(node._held),
+                "struck requests": len(node._struck),
+                "requests of the module": len(node._balancer._requests),
+                "attempts of the module": len(node._balancer._attempts),
+                "waiting requests": len(node._balancer._queue),
+                "bytes of bodies": node._callers._bytes,
+                "callers' connections": len(node._callers._open),
+                "servers' connections": len(node._servers._open),
+                "tasks": max(0, len(loop.tasks()) - 1),  # its main one
+                "timers": max(0, loop.timers - TIMERS_AT_REST),
+            }
+            for what, size in sizes.items():
+                if size:
+                    self.oracle.report("leak", f"{loop.name} at rest: {what} {size}")
+
+    def close(self) -> None:
+        """Leave nothing behind in this process."""
+        for loop in {t.loop: None for t in self.network.open}:
+            loop.kill()
+        for host in self.nodes:
+            self.end_node(host)
+        self.callers.loop.kill()
+
+    @property
+    def violations(self) -> list[Violation]:
+        return self.oracle.violations
+
+
+class _Faults(logging.Handler):
+    """What a node logs as a fault is a finding: it went on all the same, and would tell nobody else."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(logging.ERROR)
+        self._world = world
+
+    def emit(self, record: logging.LogRecord) -> None:
+        if record.exc_info and record.exc_info[1] is not None:
+            error = record.exc_info[1]
+            self._world.oracle.report("exception", f"{record.getMessage()}: {type(error).__name__}: {error}")
+        elif "not answered in time" in record.getMessage():
+            self._world.oracle.count("guard_answers")
+
+
+@contextmanager
+def _quiet_log(world: World) -> Iterator[None]:
+    """The nodes' log goes to the oracle while a world is played."""
+    log = logging.getLogger("leadrudder")
+    handler = _Faults(world)
+    before = (log.level, log.propagate)
+    log.addHandler(handler)
+    log.setLevel(logging.ERROR)
+    log.propagate = False
+    try:
+        yield
+    finally:
+        log.removeHandler(handler)
+        log.setLevel(before[0])
+        log.propagate = before[1]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,6 +6,7 @@
 
 from leadrudder import Balancer
 from leadrudder.interface import (
+    Action,
     Arrival,
     AttemptEnded,
     Cancel,
@@ -21,9 +22,11 @@
     Send,
     ServerEntry,
     ServerList,
+    SetTimer,
     Settings,
     Subscribe,
     Tenant,
+    TimerFired,
 )
 from leadrudder.policy.decide import BUDGET_PLUS, BUDGET_TIMES
 from tests.checker import Owed, Surrounding
@@ -617,3 +620,18 @@
         for number in play.live(request):
             play.end(request, number, Outcome.FULL)
     assert play.balancer._strain > 1.0
+
+
+def test_a_timer_that_was_overtaken_asks_for_no_other() -> None:
+    """Each overtaken timer re-armed itself: in a node they added up to chains that all woke at once."""
+    balancer = Balancer(Settings(classes=(SAFE,), ask_for_list=True, must_ask_ms=1000.0), seed=2)
+
+    def timers(actions: list[Action]) -> list[SetTimer]:
+        return [action for action in actions if isinstance(action, SetTimer)]
+
+    (first,) = timers(balancer.handle(ServerList(ListKind.CACHED, (ServerEntry(b"a"),)), 0.0))
+    (earlier,) = timers(balancer.handle(ServerList(ListKind.FAILED), 0.0))
+    assert earlier.at_ms < first.at_ms
+    (again,) = timers(balancer.handle(TimerFired(earlier.token), earlier.at_ms))
+    assert not timers(balancer.handle(TimerFired(first.token), earlier.at_ms + 0.1))
+    assert timers(balancer.handle(TimerFired(again.token), earlier.at_ms + 0.2))  # called early: asks again
