--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,2 @@
+"""Measurements: run as `python -m bench.NAME`; each compares within one run and ends with one line of
+figures."""
--- a/leadrudder/policy/decide.py
+++ b/leadrudder/policy/decide.py
@@ -1,7 +1,7 @@
 """Every decision of leadrudder.  The types, events and actions are in leadrudder/interface.py.
 
 The ordinary path is a two-time-scale learning automaton (Automaton below).  What surrounds it only says
-which servers may be drawn at all, when, and what follows from an outcome; docs/design.md lists those
+which servers may be drawn at all, when, and what follows from an outcome; docs/design/node.md lists those
 exceptions and the condition under which each one acts.  Nothing here reads a clock or a global random
 source: time comes with each event, randomness from the seed.
 """
