leadrudder check, init, render, schema: the operator's file, typed, and checked for what it means

A node wanted four variables and a JSON of sixty settings by hand, and nothing said that varaus was marked safe to repeat. One TOML file an application now (pydantic for types and the JSON Schema, tree-sitter for lines and columns), with safe values for what is left out: a class that says nothing is unsafe, a route that says nothing is not repeated; the module knows that by the new RequestClass.repeat (two lines of policy, true where it is not told).

Unreadable in any way is one message. init writes atomically.

The simulation also looks for what is still held in memory at rest.

--- a/leadrudder/cli.py
+++ b/leadrudder/cli.py
@@ -10,6 +10,7 @@
 import click
 
 from leadrudder.simulation.command import simulate
+from leadrudder.tool.commands import check, init, render, schema
 
 UNUSABLE = 2  # exit code for what was asked in a way that cannot be done
 
@@ -20,7 +21,8 @@
     """leadrudder: a load balancer's node for services that call services, and its tools."""
 
 
-tool.add_command(simulate)
+for command in (init, check, render, schema, simulate):
+    tool.add_command(command)
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/leadrudder/interface.py
+++ b/leadrudder/interface.py
@@ -97,6 +97,7 @@
     window_ms: float = 0.0
     stream: bool = False
     aim_stretch: float = 0.0
+    repeat: bool = True  # False: what may have run is not sent again, even where that would be harmless
 
     def __post_init__(self) -> None:
         _check(self, ("aim_ms", "deadline_ms"), 1e-6)
--- a/leadrudder/policy/decide.py
+++ b/leadrudder/policy/decide.py
@@ -375,7 +375,7 @@
     started: bool = False
 
     def repeatable(self) -> bool:
-        return self.kind.effect is not Effect.UNSAFE
+        return self.kind.repeat and self.kind.effect is not Effect.UNSAFE
 
 
 # Kinds of internal timers.
@@ -772,7 +772,7 @@
         if not risky:
             return True
         kind = request.kind
-        if request.out and not self.settings.may_duplicate:
+        if not kind.repeat or (request.out and not self.settings.may_duplicate):
             return False
         if kind.effect is Effect.SAFE:
             return True
--- a/leadrudder/settings.py
+++ b/leadrudder/settings.py
@@ -89,6 +89,7 @@
         window_ms=setup.number(f"{at}.windowMs", None if keyed else 0.0),
         stream=setup.flag(f"{at}.stream", False),
         aim_stretch=setup.number(f"{at}.aimStretch", 0.0),
+        repeat=setup.flag(f"{at}.repeat", True),
     )
 
 
--- a/leadrudder/simulation/loop.py
+++ b/leadrudder/simulation/loop.py
@@ -122,6 +122,7 @@
             server.close()
         for transport in list(self.transports):
             transport.process_died()
+        self.network.process_died(self)
         for task in self.tasks():
             task._log_destroy_pending = False  # type: ignore[attr-defined]  # it is meant to be left behind
             coro = task.get_coro()
--- a/leadrudder/simulation/network.py
+++ b/leadrudder/simulation/network.py
@@ -173,6 +173,11 @@
                 return strike
         return None
 
+    def process_died(self, loop: VirtualLoop) -> None:
+        """Nobody waits any longer for the connections that a process was opening."""
+        for opening in [opening for opening in self._openings if opening.loop is loop]:
+            del self._openings[opening]
+
     def back(self, host: str) -> None:
         """A machine that vanished is back, and knows nothing of the connections that it had."""
         for transport in list(self.open):
@@ -185,7 +190,7 @@
 
     def __init__(self, network: Network, loop: VirtualLoop, address: Address, rng: random.Random) -> None:
         self._network = network
-        self._loop = loop
+        self.loop = loop
         self._address = address
         self._rng = rng
         self.accepted: asyncio.Future[None] = loop.create_future()
@@ -198,25 +203,25 @@
 
     def _knock(self) -> None:
         network, (host, port) = self._network, self._address
-        if not self._loop.alive or not network.hears(self._loop.host, host):
+        if not self.loop.alive or not network.hears(self.loop.host, host):
             return
         server = network.listener(self._address)
-        wait = network.instant(network.latency(self._rng, host, self._loop.host))
+        wait = network.instant(network.latency(self._rng, host, self.loop.host))
         if server is None:
-            network.scheduler.network(wait, self._loop, "refused", self._refused)
+            network.scheduler.network(wait, self.loop, "refused", self._refused)
             return
-        source = (self._loop.host, network._next_port(self._loop.host))
-        here = VirtualTransport(network, self._loop, source, (host, port), self._rng)
+        source = (self.loop.host, network._next_port(self.loop.host))
+        here = VirtualTransport(network, self.loop, source, (host, port), self._rng)
         there = VirtualTransport(network, server.loop, (host, port), source, self._rng)
         here.meet(there)
         self.pair, self._made = (here, there), True
         network.tap.opened(here)
         network.scheduler.network(network.scheduler.now, server.loop, "accept", server.accept, there)
-        network.scheduler.network(wait, self._loop, "connected", self._connected)
+        network.scheduler.network(wait, self.loop, "connected", self._connected)
 
     def _connected(self) -> None:
         here = self.pair[0]
-        if not self._network.hears(self._loop.host, self._address[0]):
+        if not self._network.hears(self.loop.host, self._address[0]):
             here.deaf = True
             return
         if not self.accepted.done():
--- a/leadrudder/simulation/world.py
+++ b/leadrudder/simulation/world.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import logging
 from collections.abc import Callable, Iterator
@@ -16,8 +17,11 @@
 from random import Random
 from typing import Any
 
+from leadrudder.node.callers import CallerConnection, Exchange
 from leadrudder.node.config import load
-from leadrudder.node.node import Node
+from leadrudder.node.node import Node, Pending
+from leadrudder.node.servers import Call, Connection
+from leadrudder.policy.decide import Attempt, Request
 from leadrudder.simulation.faults import Fault, draw
 from leadrudder.simulation.injector import DISCOVERY_PORT, Injector
 from leadrudder.simulation.loop import VirtualLoop
@@ -29,6 +33,8 @@
 from leadrudder.simulation.standins.discovery import Registry, Row, StandInDiscovery
 from leadrudder.simulation.standins.server import Keys, StandInServer
 
+# What a node makes for one request or connection: none is left when all is quiet.
+PASSING = frozenset({Attempt, Call, CallerConnection, Connection, Exchange, Pending, Request})
 EPOCH_S = 1_800_000_000.0  # Unix time at which a world begins
 EPISODE_MS = 10_000  # of virtual time, for which faults are drawn at once
 FAULTS = 14  # in an episode
@@ -362,6 +368,7 @@
             self._run_until(end)
             if not self.oracle.violations:
                 self._check_rest(asked)
+                self._check_memory()
 
     def _run_until(self, end_us: int) -> None:
         """Run what is due by an instant, up to a violation."""
@@ -380,6 +387,18 @@
                 "spin", f"{self.scheduler.at_this_instant} steps at one instant, {self.scheduler.last}"
             )
 
+    def _check_memory(self) -> None:
+        """What belongs to a request or a connection is not kept alive by anything: a table, a timer, a
+        closure."""
+        gc.collect()
+        left: dict[str, int] = {}
+        for thing in gc.get_objects():
+            if type(thing) in PASSING:
+                name = type(thing).__name__
+                left[name] = left.get(name, 0) + 1
+        for name, count in sorted(left.items()):
+            self.oracle.report("leak", f"{count} of {name} are still held at rest")
+
     def _check_rest(self, asked: dict[str, int]) -> None:
         """Tables, connections, timers and tasks are back at their resting size."""
         for host in self.nodes:
--- /dev/null
+++ b/leadrudder/tool/commands.py
@@ -0,0 +1,89 @@
+"""The tool's commands on operators' files: init, check, render, schema."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+import click
+
+from leadrudder.tool.check import Checked, check_sources
+from leadrudder.tool.check import check as check_files
+from leadrudder.tool.model import File
+from leadrudder.tool.problems import report
+from leadrudder.tool.render import render as render_file
+from leadrudder.tool.source import Unreadable, parse
+from leadrudder.tool.template import template, write
+
+
+def _complain(done: Checked, form: str = "text") -> None:
+    if done.problems:
+        print(report(done.problems, form), file=sys.stderr)
+
+
+@click.command()
+@click.argument("files", nargs=-1, required=True)
+@click.option("--format", "form", type=click.Choice(["text", "json", "github"]), default="text")
+def check(files: tuple[str, ...], form: str) -> int:
+    """Check operators' FILES together, and tell all problems in one go.
+
+    Exit code 0: clean. 1: there are problems. 2: a file cannot be read. No file is ever written to.
+    """
+    done = check_files(files)
+    if done.problems or form == "json":
+        print(report(done.problems, form))
+    if form == "text" and not done.problems:
+        print(f"{len(files)} {'file' if len(files) == 1 else 'files'}: no problems")
+    return done.exit_code
+
+
+@click.command()
+@click.argument("file")
+def render(file: str) -> int:
+    """Tell what each node of FILE's sidecar is started with: its environment and its NODE_CONFIG, as JSON."""
+    done = check_files([file])
+    if done.exit_code:
+        _complain(done)
+        return done.exit_code
+    nodes = [
+        {"name": node.name, "environment": node.environment, "config": node.config}
+        for node in render_file(done.files[0])
+    ]
+    print(json.dumps(nodes, indent=2))
+    return 0
+
+
+@click.command()
+def schema() -> int:
+    """Print the JSON Schema of the operator's file."""
+    print(json.dumps(File.model_json_schema(), indent=2))
+    return 0
+
+
+@click.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--application", prompt=True, help="Its name: small letters, digits and dashes.")
+@click.option("--tier", default="palvelu", show_default=True, help="What its servers are called.")
+@click.option("--listen", default="127.0.0.1:8100", show_default=True, help="Where the application calls.")
+@click.option("--discovery", default="127.0.0.1:8500", show_default=True, help="Where servers are listed.")
+@click.option("--force", is_flag=True, help="Replace a file that is there.")
+def init(file: Path, application: str, tier: str, listen: str, discovery: str, force: bool) -> int:
+    """Write a commented FILE for an application; nothing is written unless it would pass check."""
+    text = template(str(file), application, tier, listen, discovery)
+    done = Checked()
+    try:
+        check_sources([parse(str(file), text)], done)
+    except Unreadable as error:
+        raise click.ClickException(f"{file}: {error}") from None
+    if done.problems:
+        _complain(done)
+        return 1
+    try:
+        write(file, text, force=force)
+    except FileExistsError:
+        raise click.ClickException(f"{file} is there; --force replaces it") from None
+    except OSError as error:
+        raise click.ClickException(f"{file} cannot be written: {error.strerror}") from None
+    print(f"wrote {file}; check it with: leadrudder check {file}")
+    return 0
--- /dev/null
+++ b/leadrudder/tool/model.py
@@ -0,0 +1,158 @@
+"""The operator's file as a typed model: one application, its listeners, tiers, classes, routes and shares.
+
+What is left out has the safe value: a class that says nothing of its effect is unsafe, a route that says
+nothing may not be repeated, a tier makes one attempt. Times are milliseconds unless a name says otherwise.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+VERSION = 1
+
+Name = Annotated[str, Field(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
+Address = Annotated[str, Field(pattern=r"^\S+:[0-9]{1,5}$", description="host:port")]
+Milliseconds = Annotated[float, Field(gt=0, le=3_600_000, allow_inf_nan=False)]
+Share = Annotated[float, Field(ge=0, le=1, allow_inf_nan=False)]
+Amount = Annotated[float, Field(ge=0, le=1e9, allow_inf_nan=False)]
+Group = Literal["cell", "zone", "all"]
+
+
+class Section(BaseModel):
+    """A table of the file: unknown keys are mistakes, and nothing is converted on the quiet."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
+class Application(Section):
+    """The application that the sidecar stands beside."""
+
+    name: Name
+    zone: str = Field(default="", description="the zone of its machine; empty where there is one zone")
+    calls: list[Name] = Field(default=[], description="other applications that it calls, by their names")
+
+
+class Limits(Section):
+    """What one node may use, and what the file promises to stay within."""
+
+    memory_mb: int = Field(default=64, ge=32, le=65_536, description="of each node")
+    descriptors: int = Field(default=256, ge=16, le=1_048_576, description="of each node")
+    open_requests: int = Field(default=64, ge=1, le=100_000, description="that a node must hold at once")
+    body_kb: int = Field(default=64, ge=1, le=64, description="the largest body of a request")
+    repeat_factor: float = Field(
+        default=4.0,
+        ge=1,
+        le=1000,
+        allow_inf_nan=False,
+        description="attempts over all tiers for one request, at most",
+    )
+    permitted: list[str] = Field(
+        default=["127.0.0.0/8"], description="networks in which listeners may be, as address/length"
+    )
+
+
+class Defaults(Section):
+    """What routes and tiers inherit where they say nothing."""
+
+    repeat: bool = Field(default=False, description="whether a route's requests may be repeated")
+    attempts: int = Field(default=1, ge=1, le=10, description="that a tier's node makes for a request")
+
+
+class Tier(Section):
+    """Servers of one kind, which one listener's node balances."""
+
+    name: Name
+    discovery: Address = Field(description="where the list of its servers is asked for")
+    list: Literal["asked", "pushed"] = Field(
+        default="asked", description="whether the list is asked for or pushed"
+    )
+    attempts: int | None = Field(
+        default=None, ge=1, le=10, description="for a request; left out: as in [defaults]"
+    )
+    copies: bool = Field(default=False, description="whether a second copy may go out while the first runs")
+    drops_repeats: Literal["none", "cell", "zone", "all"] = Field(
+        default="none", description="the servers that together drop repeats of a keyed request"
+    )
+    drops_repeats_ms: float = Field(
+        default=0.0,
+        ge=0,
+        le=86_400_000,
+        allow_inf_nan=False,
+        description="and for how long they remember them",
+    )
+    behind: Name | None = Field(
+        default=None, description="the tier whose servers call this one; left out: the first"
+    )
+    deadline_ms: Milliseconds | None = Field(default=None, description="that its callers are given at most")
+    cold_ms: float = Field(default=10_000.0, ge=0, le=3_600_000, allow_inf_nan=False)
+    connect_ms: Milliseconds = 250.0
+    idle_ms: Milliseconds = 15_000.0
+    nodes: int = Field(default=1, ge=1, le=10_000, description="nodes that share its servers")
+
+
+class Listener(Section):
+    """Where the application calls its node: one node for each."""
+
+    name: Name
+    address: Address
+    tier: Name
+
+
+class RequestClass(Section):
+    """Requests that are alike, and what an answer to one is worth."""
+
+    name: Name
+    effect: Literal["safe", "keyed", "unsafe"] = Field(
+        default="unsafe",
+        description="what a second execution does: nothing, dropped by its key, or the effect again",
+    )
+    aim_ms: Milliseconds
+    deadline_ms: Milliseconds
+    worth: Amount = 1.0
+    late_share: Share = 0.0
+    group: Group | None = Field(
+        default=None, description="of a keyed class: the servers that drop its repeats"
+    )
+    window_ms: Milliseconds | None = Field(default=None, description="of a keyed class: how long they do")
+
+
+class Route(Section):
+    """Requests of a method and a path are of a class and go to a listener."""
+
+    method: Literal["GET", "POST"]
+    path: str = Field(pattern=r"^/[!-~]*$", max_length=1024, description="a trailing /* takes all below it")
+    listener: Name
+    request_class: Name = Field(alias="class")
+    repeat: bool | None = Field(default=None, description="left out: as in [defaults], which is false there")
+
+
+class Tenant(Section):
+    """One of those who share the service."""
+
+    name: Name
+    share: Share
+    quota_per_s: Amount = 0.0
+
+
+class File(Section):
+    """The whole file."""
+
+    version: Literal[1] = Field(description="of this format")
+    application: Application
+    limits: Limits = Limits()
+    defaults: Defaults = Defaults()
+    tier: list[Tier] = Field(min_length=1)
+    listener: list[Listener] = Field(min_length=1)
+    request_class: list[RequestClass] = Field(min_length=1, alias="class")
+    route: list[Route] = Field(min_length=1)
+    tenant: list[Tenant] = []
+
+    def attempts(self, tier: Tier) -> int:
+        """Of a tier's node for one request, inherited where it says nothing."""
+        return self.defaults.attempts if tier.attempts is None else tier.attempts
+
+    def repeats(self, route: Route) -> bool:
+        """Whether a route's requests may be repeated, inherited where it says nothing."""
+        return self.defaults.repeat if route.repeat is None else route.repeat
--- a/tests/simulation/plants.py
+++ b/tests/simulation/plants.py
@@ -112,6 +112,17 @@
     patch.setattr(Node, "_let_go", let_go)
 
 
+def exchanges_remembered(patch: pytest.MonkeyPatch) -> None:
+    """Something outside of all tables keeps what belonged to requests."""
+    original = Exchange.answer
+
+    def answer(self: Exchange, status: int, body: bytes = b"", extra: bytes = b"") -> None:
+        self._connection.callers.__dict__.setdefault("kept", []).append(self)
+        original(self, status, body, extra)
+
+    patch.setattr(Exchange, "answer", answer)
+
+
 def answered_twice(patch: pytest.MonkeyPatch) -> None:
     """A refusal is written twice."""
     original = Exchange.answer
@@ -227,6 +238,7 @@
     _planted(surplus_taken_for_an_answer, 4, "untrue", "surplus"),
     _planted(late_answer_kept, 2, "untrue copy-forbidden", "hang slow"),
     _planted(ids_held_for_good, 2, "leak"),
+    _planted(exchanges_remembered, 2, "leak"),
     _planted(answered_twice, 4, "answer-unasked untrue"),
     _planted(ends_at_once, 4, "lost"),
     _planted(deaf_after_a_failed_list, 4, "list-not-asked"),
--- /dev/null
+++ b/tests/tool/test_check.py
@@ -0,0 +1,298 @@
+"""What check accepts, what it rejects and why, and that it never fails in another way."""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from leadrudder.cli import main
+from leadrudder.node.config import ConfigError, load
+from leadrudder.settings import SettingsError
+from leadrudder.tool import source
+from leadrudder.tool.check import Checked, check, check_sources
+from leadrudder.tool.render import render
+from leadrudder.tool.source import Unreadable, parse
+from tests.tool.samples import BASE, BROKEN, GOOD, LEAST, Broken
+
+
+class _OneFile:
+    """A platform that holds one configuration."""
+
+    def __init__(self, text: str) -> None:
+        self._text = text
+
+    def read_text(self, path: str) -> str:
+        return self._text
+
+    def monotonic(self) -> float:
+        return 0.0
+
+    def wall(self) -> float:
+        return 0.0
+
+    def unread(self, transport: object) -> bool:
+        return False
+
+
+def _starts(done: Checked) -> None:
+    """A node takes what is rendered of each accepted file."""
+    for file in done.files:
+        for node in render(file):
+            config = load({**node.environment, "NODE_CONFIG": "x"}, _OneFile(json.dumps(node.config)))
+            assert config.name == node.name
+            assert len(config.settings.classes) >= 1
+
+
+def test_there_are_enough_samples() -> None:
+    assert len(BROKEN) >= 40 and len(GOOD) >= 10
+    assert len({broken.name for broken in BROKEN}) == len(BROKEN)
+
+
+@pytest.mark.parametrize("broken", BROKEN, ids=lambda broken: broken.name.replace(" ", "-"))
+def test_a_mistake_is_told_with_its_reason(broken: Broken, tmp_path: Path) -> None:
+    path = tmp_path / "a.toml"
+    path.write_text(broken.text)
+    done = check([str(path)])
+    assert done.exit_code == 1
+    assert [problem.rule for problem in done.problems] == [broken.rule], [p.text() for p in done.problems]
+    (problem,) = done.problems
+    assert problem.field == broken.field and broken.says in problem.what
+    assert problem.why and problem.right and problem.file == str(path)
+    line = broken.text.splitlines()[problem.line - 1]
+    leaf = problem.field.rpartition(".")[2].partition("[")[0]
+    table = problem.field.partition(".")[0].partition("[")[0]
+    assert leaf in line or f"[{table}]" in line or problem.rule in ("missing", "repeat-mixed"), (
+        problem,
+        line,
+    )
+
+
+@pytest.mark.parametrize("name", GOOD)
+def test_a_good_file_is_accepted_unchanged_and_a_node_starts_with_it(name: str, tmp_path: Path) -> None:
+    path = tmp_path / "a.toml"
+    path.write_bytes(GOOD[name].encode())
+    before = path.stat()
+    done = check([str(path)])
+    assert done.exit_code == 0, [problem.text() for problem in done.problems]
+    assert path.read_bytes() == GOOD[name].encode() and path.stat().st_mtime_ns == before.st_mtime_ns
+    _starts(done)
+
+
+def _together(tmp_path: Path, *texts: str) -> Checked:
+    names = []
+    for i, text in enumerate(texts):
+        path = tmp_path / f"{i}.toml"
+        path.write_text(text)
+        names.append(str(path))
+    return check(names)
+
+
+def test_two_applications_claim_one_port(tmp_path: Path) -> None:
+    other = LEAST.replace("127.0.0.1:2", "127.0.0.1:8100")
+    done = _together(tmp_path, BASE, other)
+    assert [(p.rule, Path(p.file).name, p.field) for p in done.problems] == [
+        ("port-taken", "1.toml", "listener[1].address")
+    ]
+    assert "application 'kampaamo' (front, 127.0.0.1:8100)" in done.problems[0].what
+
+
+def test_every_address_collides_with_one_address_of_another_application(tmp_path: Path) -> None:
+    wide = LEAST.replace("127.0.0.1:2", "0.0.0.0:8100") + '[limits]\npermitted = ["0.0.0.0/0"]\n'
+    assert [p.rule for p in _together(tmp_path, BASE, wide).problems] == ["port-taken"]
+    apart = LEAST.replace("127.0.0.1:2", "127.0.0.2:8100")
+    assert not _together(tmp_path, BASE, apart).problems
+
+
+def test_applications_that_call_each_other_in_a_circle(tmp_path: Path) -> None:
+    def app(name: str, calls: str, port: int) -> str:
+        text = LEAST.replace('{name = "pieni"}', f'{{name = "{name}", calls = ["{calls}"]}}')
+        return text.replace("127.0.0.1:2", f"127.0.0.1:{port}")
+
+    done = _together(tmp_path, app("a", "b", 11), app("b", "c", 12), app("c", "a", 13))
+    assert [(p.rule, p.field) for p in done.problems] == [("application-loop", "application.calls[1]")]
+    assert "a -> b -> c -> a" in done.problems[0].what
+    assert not _together(tmp_path, app("a", "b", 11), app("b", "c", 12), app("c", "d", 13)).problems
+
+
+def test_one_application_in_two_files(tmp_path: Path) -> None:
+    done = _together(tmp_path, LEAST, LEAST.replace("127.0.0.1:2", "127.0.0.1:3"))
+    assert [p.rule for p in done.problems] == ["application-taken"]
+
+
+def test_all_problems_are_told_in_one_go(tmp_path: Path) -> None:
+    text = BASE.replace("worth = 9", "worth = -1").replace('"siirto"\nrepeat', '"siirto"\nrepeet')
+    done = _together(tmp_path, text, LEAST.replace("aim_ms = 1", "aim_ms = 2"))
+    assert [p.rule for p in done.problems] == ["type", "unknown-key", "aim-after-deadline"]
+    assert done.problems[1].right == "repeat?"
+
+
+# ---------------------------------------------------------------- what cannot be read
+
+
+def _unreadable(path: Path, says: str) -> None:
+    done = check([str(path)])
+    assert done.exit_code == 2
+    assert [p.rule for p in done.problems] == ["unreadable"] and says in done.problems[0].what
+
+
+def test_what_is_not_utf_8(tmp_path: Path) -> None:
+    path = tmp_path / "a.toml"
+    path.write_bytes(b"version = 1\n# \xff\n")
+    _unreadable(path, "is not UTF-8: byte 14")
+    assert (check([str(path)]).problems[0].line, check([str(path)]).problems[0].column) == (2, 3)
+
+
+def test_a_file_of_100_mb(tmp_path: Path) -> None:
+    path = tmp_path / "a.toml"
+    with path.open("wb") as file:
+        file.truncate(100 * 1024 * 1024)
+    _unreadable(path, "holds 104857600 bytes")
+
+
+@pytest.mark.parametrize("deep", ["[" * 5000, "a = " + "[" * 5000 + "]" * 5000, "a = " + "{b = " * 900])
+def test_deep_nesting(deep: str, tmp_path: Path) -> None:
+    path = tmp_path / "a.toml"
+    path.write_text(deep)
+    _unreadable(path, "deep; at most 32 are read")
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("version = 1\nversion = 1\n", "is no TOML: Cannot overwrite a value"),
+        ("[a]\n[a]\n", "is no TOML: Cannot declare"),
+        ("a = \n", "is no TOML: Invalid value"),
+        ("\x00", "is no TOML"),
+        ("a = '''", "is no TOML"),
+    ],
+)
+def test_what_is_no_toml(text: str, says: str, tmp_path: Path) -> None:
+    path = tmp_path / "a.toml"
+    path.write_text(text)
+    _unreadable(path, says)
+
+
+def test_links_in_a_circle_folders_pipes_and_nothing(tmp_path: Path) -> None:
+    loop = tmp_path / "loop"
+    loop.symlink_to(loop)
+    _unreadable(loop, "cannot be read: Too many levels of symbolic links")
+    _unreadable(tmp_path, "cannot be read: Is a directory")
+    _unreadable(tmp_path / "none", "cannot be read: No such file")
+    pipe = tmp_path / "pipe"
+    os.mkfifo(pipe)
+    _unreadable(pipe, "is not a regular file")
+
+
+def test_a_file_without_permission(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Root may read everything, so the refusal is made here."""
+    path = tmp_path / "a.toml"
+    path.write_text(BASE)
+
+    def refuse(*_: object) -> int:
+        raise PermissionError(13, "Permission denied")
+
+    monkeypatch.setattr(source, "_open", refuse)
+    _unreadable(path, "cannot be read: Permission denied")
+
+
+def test_a_file_that_is_replaced_while_it_is_read(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The first version is never mixed with the second; a file that keeps changing is told as such."""
+    path, other = tmp_path / "a.toml", tmp_path / "b.toml"
+    path.write_text("version = 2\n")
+    original = os.fstat
+    calls = 0
+
+    def fstat(descriptor: int) -> os.stat_result:
+        nonlocal calls
+        calls += 1
+        if calls == 2:  # between the read and the look after it
+            other.write_text(BASE)
+            os.replace(other, path)
+        return original(descriptor)
+
+    monkeypatch.setattr(os, "fstat", fstat)
+    assert check([str(path)]).exit_code == 0
+
+    def always(descriptor: int) -> os.stat_result:
+        other.write_text(BASE)
+        os.replace(other, path)
+        return original(descriptor)
+
+    monkeypatch.setattr(os, "fstat", always)
+    _unreadable(path, "was changed each of 3 times")
+
+
+# ---------------------------------------------------------------- fuzzing
+
+
+def _check_text(text: str) -> Checked:
+    done = Checked()
+    try:
+        check_sources([parse("a.toml", text)], done)
+    except Unreadable:
+        done.unreadable = True
+    return done
+
+
+_PIECES = sorted({line for line in (BASE + LEAST).splitlines() if line.strip()})
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.text(max_size=200) | st.lists(st.sampled_from(_PIECES), max_size=40).map("\n".join))
+def test_no_text_makes_it_fail_otherwise(text: str) -> None:
+    done = _check_text(text)
+    if not done.problems:
+        _starts(done)
+
+
+_VALUES = st.one_of(
+    st.sampled_from(
+        ["true", "nan", "inf", "-1", "0", "1e400", '""', "[]", "{}", "1979-05-27", "9" * 30, '"a\\u0000"']
+    ),
+    st.integers(-10, 10**7).map(str),
+    st.floats(0.001, 1e6).map(repr),
+    st.text(max_size=8).map(json.dumps),
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.integers(0, 10**6), _VALUES)
+def test_whatever_is_accepted_a_node_starts_with(where: int, value: str) -> None:
+    """One value of a good file is another: it is told, or the node takes what comes of it."""
+    lines = BASE.splitlines()
+    assigned = [i for i, line in enumerate(lines) if " = " in line and not line.startswith("#")]
+    at = assigned[where % len(assigned)]
+    lines[at] = f"{lines[at].partition(' = ')[0]} = {value}"
+    done = _check_text("\n".join(lines))
+    if not done.problems and not done.unreadable:
+        try:
+            _starts(done)
+        except (ConfigError, SettingsError) as error:  # named here, so that the example is shown with it
+            pytest.fail(f"accepted, and a node does not start: {error}")
+
+
+# ---------------------------------------------------------------- the command
+
+
+def test_the_forms_of_the_report(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "a.toml"
+    path.write_text(BROKEN[0].text)
+    assert main(["check", str(path)]) == 1
+    assert f"{path}:" in capsys.readouterr().out
+    assert main(["check", str(path), "--format", "json"]) == 1
+    (item,) = json.loads(capsys.readouterr().out)
+    assert set(item) == {"file", "line", "column", "field", "rule", "what", "why", "right"}
+    assert main(["check", str(path), "--format", "github"]) == 1
+    line = capsys.readouterr().out.splitlines()
+    assert len(line) == 1 and line[0].startswith("::error file=") and f"line={item['line']}" in line[0]
+    path.write_text(BASE)
+    assert main(["check", str(path), "--format", "json"]) == 0
+    assert json.loads(capsys.readouterr().out) == []
+    assert main(["check", str(path)]) == 0
+    assert capsys.readouterr().out == "1 file: no problems\n"
+    assert main(["check"]) == 2
--- /dev/null
+++ b/tests/tool/test_commands.py
@@ -0,0 +1,94 @@
+"""init, render and schema, as an operator uses them."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from leadrudder.cli import main
+
+
+def test_what_init_writes_passes_check_and_is_whole(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "a.toml"
+    assert main(["init", str(path), "--application", "kampaamo"]) == 0
+    assert main(["check", str(path)]) == 0
+    assert [item.name for item in tmp_path.iterdir()] == ["a.toml"]
+    assert main(["render", str(path)]) == 0
+    out = capsys.readouterr().out
+    (node,) = json.loads(out[out.index("[\n") :])
+    assert node["environment"]["NODE_LISTEN"] == "127.0.0.1:8100"
+    profiles = {p["name"]: p for p in node["config"]["settings"]["profiles"]}
+    assert profiles["varaus"]["effect"] == "unsafe" and profiles["varaus"]["repeat"] is False
+    assert profiles["siirto"]["repeat"] is True and profiles["siirto"]["windowMs"] == 7500
+
+
+def test_init_never_overwrites_without_force(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "a.toml"
+    path.write_text("mine")
+    assert main(["init", str(path), "--application", "kampaamo"]) == 2
+    assert path.read_text() == "mine" and "--force replaces it" in capsys.readouterr().err
+    assert main(["init", str(path), "--application", "kampaamo", "--force"]) == 0
+    assert path.read_text().startswith('# What the sidecar of "kampaamo"')
+    assert [item.name for item in tmp_path.iterdir()] == ["a.toml"]
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["--application", "Oma Kampaamo"],
+        ["--application", 'a"\n[x]'],
+        ["--application", "a", "--listen", "0.0.0.0:80"],
+        ["--application", "a", "--listen", "here"],
+        ["--application", "a", "--discovery", "luettelo:1"],
+    ],
+)
+def test_init_writes_nothing_that_would_not_pass(arguments: list[str], tmp_path: Path) -> None:
+    assert main(["init", str(tmp_path / "a.toml"), *arguments]) == 1
+    assert not list(tmp_path.iterdir())
+
+
+def test_init_leaves_nothing_where_it_cannot_write(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    def full(_: int) -> None:
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(os, "fsync", full)
+    assert main(["init", str(tmp_path / "a.toml"), "--application", "a"]) == 2
+    assert "cannot be written: No space left on device" in capsys.readouterr().err
+    assert not list(tmp_path.iterdir())
+    assert main(["init", "/nowhere/a.toml", "--application", "a"]) == 2
+
+
+def test_render_tells_the_problems_of_a_bad_file(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "a.toml"
+    path.write_text("version = 1\n")
+    assert main(["render", str(path)]) == 1
+    said = capsys.readouterr()
+    assert said.out == "" and "application: is required" in said.err
+
+
+def test_the_schema_is_json_schema_of_the_file(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["schema"]) == 0
+    schema = json.loads(capsys.readouterr().out)
+    assert set(schema["required"]) == {"version", "application", "tier", "listener", "class", "route"}
+    assert schema["$defs"]["Route"]["properties"]["repeat"]["default"] is None
+
+
+def test_the_node_in_service_imports_nothing_of_the_tool() -> None:
+    code = (
+        "import sys, leadrudder.__main__;"
+        "print([m for m in sys.modules if m.split('.')[0] in ('click', 'pydantic', 'tree_sitter')"
+        " or m.startswith(('leadrudder.tool', 'leadrudder.simulation', 'leadrudder.cli'))])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True, env=os.environ
+    )
+    assert done.stdout == "[]\n"
