Simulation: a dead process or a half-open peer keeps nothing of a node alive

Found by the look at memory at rest: the loop of a killed process kept its signal handlers, and through them the whole node; a transport that was over kept its protocol as long as its peer stayed half open.

--- a/leadrudder/simulation/loop.py
+++ b/leadrudder/simulation/loop.py
@@ -118,6 +118,7 @@
         if not self.alive:
             return
         self.alive = False
+        self._signals.clear()  # they hold the whole program
         for server in list(self.servers):
             server.close()
         for transport in list(self.transports):
--- a/leadrudder/simulation/network.py
+++ b/leadrudder/simulation/network.py
@@ -138,9 +138,9 @@
             self._openings.pop(opening, None)
         protocol = factory()
         here = opening.pair[0]
-        here.protocol = protocol
         if here.over:
             raise ConnectionResetError(104, "reset while it came up")
+        here.protocol = protocol
         protocol.connection_made(here)
         here.begin()
         return here, protocol
@@ -542,7 +542,8 @@
         self._tell_lost(error)
 
     def _tell_lost(self, error: Exception | None) -> None:
-        protocol = self.protocol
+        # The other side may stay half open for good, and must not keep this one's protocol alive.
+        protocol, self.protocol = self.protocol, None
         if self.loop.alive and protocol is not None:
             self.network.scheduler.soon(self.loop, "connection_lost", protocol.connection_lost, error)
 
@@ -565,6 +566,7 @@
         if self.over:
             return
         self.over = True
+        self.protocol = None
         self._leave("killed")
         if not self.deaf:
             self._reject()
