leadrudder sidecar: nodes and an application, started, watched and ended together

Checks the file, starts a node for each listener, waits for /ready, then starts the application; passes SIGHUP on, ends both on SIGTERM or SIGINT in the order that the file says, starts a node that died again after growing pauses, and ends with the application's exit code.

--- a/leadrudder/tool/commands.py
+++ b/leadrudder/tool/commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import sys
 from pathlib import Path
@@ -13,6 +14,7 @@
 from leadrudder.tool.model import File
 from leadrudder.tool.problems import report
 from leadrudder.tool.render import render as render_file
+from leadrudder.tool.sidecar.supervisor import Supervisor, Terms
 from leadrudder.tool.source import Unreadable, parse
 from leadrudder.tool.template import template, write
 
@@ -87,3 +89,31 @@
         raise click.ClickException(f"{file} cannot be written: {error.strerror}") from None
     print(f"wrote {file}; check it with: leadrudder check {file}")
     return 0
+
+
+@click.command(context_settings={"ignore_unknown_options": True})
+@click.argument("file")
+@click.argument("command", nargs=-1, required=True, type=click.UNPROCESSED)
+@click.option(
+    "--ready-s", type=click.FloatRange(0.1, 3600), default=30.0, show_default=True, help="Nodes' start."
+)
+@click.option(
+    "--stop-s", type=click.FloatRange(0.1, 3600), default=5.0, show_default=True, help="After SIGTERM."
+)
+def sidecar(file: str, command: tuple[str, ...], ready_s: float, stop_s: float) -> int:
+    """Check FILE, start its nodes, and COMMAND beside them once they are ready.
+
+    Ends with COMMAND's exit code (128 and the number of a signal that killed it). 1 and 2: as check. 3: a
+    node was
+    not ready in time. 127: COMMAND cannot be started. SIGTERM and SIGINT end both, SIGHUP goes on to all; a
+    node that dies is started again; nothing is left behind, also when the sidecar itself is killed.
+    """
+    done = check_files([file])
+    if done.exit_code:
+        _complain(done)
+        return done.exit_code
+
+    async def main() -> int:
+        return await Supervisor(done.files[0], command, Terms(ready_s, stop_s)).run()
+
+    return asyncio.run(main())
--- a/leadrudder/tool/model.py
+++ b/leadrudder/tool/model.py
@@ -31,6 +31,9 @@
 
     name: Name
     zone: str = Field(default="", description="the zone of its machine; empty where there is one zone")
+    stop: Literal["application-first", "nodes-first"] = Field(
+        default="application-first", description="who goes first when the sidecar is told to end"
+    )
     calls: list[Name] = Field(default=[], description="other applications that it calls, by their names")
 
 
