--- a/leadrudder/cli.py
+++ b/leadrudder/cli.py
@@ -10,7 +10,7 @@
 import click
 
 from leadrudder.simulation.command import simulate
-from leadrudder.tool.commands import check, init, render, schema, sidecar
+from leadrudder.tool.commands import check, diff, explain, init, render, schema, sidecar
 
 UNUSABLE = 2  # exit code for what was asked in a way that cannot be done
 
@@ -21,7 +21,7 @@
     """leadrudder: a load balancer's node for services that call services, and its tools."""
 
 
-for command in (init, check, render, schema, sidecar, simulate):
+for command in (init, check, render, explain, diff, schema, sidecar, simulate):
     tool.add_command(command)
 
 
--- a/leadrudder/tool/commands.py
+++ b/leadrudder/tool/commands.py
@@ -11,11 +11,14 @@
 
 from leadrudder.tool.check import Checked, check_sources
 from leadrudder.tool.check import check as check_files
+from leadrudder.tool.explain import NoRequestError
+from leadrudder.tool.explain import diff as differences
+from leadrudder.tool.explain import explain as explain_request
 from leadrudder.tool.model import File
 from leadrudder.tool.problems import report
 from leadrudder.tool.render import render as render_file
 from leadrudder.tool.sidecar.supervisor import Supervisor, Terms
-from leadrudder.tool.source import Unreadable, parse
+from leadrudder.tool.source import Unreadable, parse, read
 from leadrudder.tool.template import template, write
 
 
@@ -117,3 +120,42 @@
         return await Supervisor(done.files[0], command, Terms(ready_s, stop_s)).run()
 
     return asyncio.run(main())
+
+
+@click.command()
+@click.argument("file")
+@click.option("--request", required=True, help="A method and a path: 'POST /varaus/17'.")
+def explain(file: str, request: str) -> int:
+    """Tell which route and class of FILE take a request, what may be repeated, and by which line."""
+    done = check_files([file])
+    if done.exit_code:
+        _complain(done)
+        return done.exit_code
+    try:
+        for line in explain_request(done.files[0], read(file), request):
+            print(line)
+    except (NoRequestError, Unreadable) as error:
+        raise click.ClickException(str(error)) from None
+    return 0
+
+
+@click.command()
+@click.argument("old")
+@click.argument("new")
+def diff(old: str, new: str) -> int:
+    """Tell what changes from OLD to NEW, what that means in service, and what it needs.
+
+    Exit code 0: nothing differs or all that does was told; 1 and 2: as check, for either file.
+    """
+    files = []
+    for name in (old, new):
+        done = check_files([name])
+        if done.exit_code:
+            _complain(done)
+            return done.exit_code
+        files += done.files
+    changes = differences(*files)
+    for change in changes:
+        print(change)
+    print(f"{len(changes)} differences" if changes else "no difference")
+    return 0
--- a/tests/tool/test_commands.py
+++ b/tests/tool/test_commands.py
@@ -11,6 +11,7 @@
 import pytest
 
 from leadrudder.cli import main
+from leadrudder.tool.reference import reference
 
 
 def test_what_init_writes_passes_check_and_is_whole(
@@ -92,3 +93,10 @@
         [sys.executable, "-c", code], capture_output=True, text=True, check=True, env=os.environ
     )
     assert done.stdout == "[]\n"
+
+
+def test_the_reference_of_fields_is_current() -> None:
+    page = Path(__file__).parent.parent.parent / "docs" / "operators" / "fields.md"
+    assert (
+        page.read_text() == reference()
+    ), "run python -m leadrudder.tool.reference > docs/operators/fields.md"
