--- a/leadrudder/cli.py
+++ b/leadrudder/cli.py
@@ -9,6 +9,7 @@
 
 import click
 
+from leadrudder.demo.command import demo
 from leadrudder.simulation.command import simulate
 from leadrudder.tool.commands import check, diff, explain, init, render, schema, sidecar
 
@@ -21,7 +22,7 @@
     """leadrudder: a load balancer's node for services that call services, and its tools."""
 
 
-for command in (init, check, render, explain, diff, schema, sidecar, simulate):
+for command in (demo, init, check, render, explain, diff, schema, sidecar, simulate):
     tool.add_command(command)
 
 
