--- a/leadrudder/cli.py
+++ b/leadrudder/cli.py
@@ -11,7 +11,7 @@
 
 from leadrudder.demo.command import demo
 from leadrudder.simulation.command import simulate
-from leadrudder.tool.commands import check, diff, explain, init, render, schema, sidecar
+from leadrudder.tool.commands import check, completion, diff, explain, init, render, schema, sidecar
 
 UNUSABLE = 2  # exit code for what was asked in a way that cannot be done
 
@@ -22,7 +22,7 @@
     """leadrudder: a load balancer's node for services that call services, and its tools."""
 
 
-for command in (demo, init, check, render, explain, diff, schema, sidecar, simulate):
+for command in (demo, init, check, render, explain, diff, schema, sidecar, simulate, completion):
     tool.add_command(command)
 
 
--- a/leadrudder/node/callers.py
+++ b/leadrudder/node/callers.py
@@ -6,7 +6,7 @@
 import logging
 import re
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from hashlib import blake2b
 from typing import cast
@@ -27,6 +27,7 @@
     answer,
 )
 from leadrudder.node.platform import SYSTEM, Platform
+from leadrudder.node.routes import Route, class_of
 
 log = logging.getLogger(__name__)
 
@@ -298,12 +299,14 @@
         most: int,
         most_bytes: int,
         platform: Platform = SYSTEM,
+        routes: Sequence[Route] = (),
     ) -> None:
         self.closing = False
         self.now = platform.monotonic  # the loop's own time is too coarse to tell which is idle longest
         self.last_heard = 0.0  # when a connection or a request last came
         self._settings = settings
         self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
+        self._routes = routes
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
         self._take = take
         self._ready = ready
@@ -395,7 +398,7 @@
                 raise MessageError(400, "method")
             exchange.answer(200 if self._ready() and not self.closing else 503)
             return False
-        if path != b"/api" and not path.startswith(b"/api/"):
+        if not self._routes and path != b"/api" and not path.startswith(b"/api/"):
             raise MessageError(404, "path")
         ask = self._ask(message, path)
         if self.crowded() or self._bytes + len(message.body) > self._most_bytes:
@@ -409,13 +412,18 @@
 
     def _ask(self, message: Message, path: bytes) -> Ask:
         headers = message.headers
-        required = [REQUEST_ID, CLASS, DEADLINE, *([TENANT] if self._tenants else [])]
+        required = [
+            REQUEST_ID,
+            DEADLINE,
+            *([] if self._routes else [CLASS]),
+            *([TENANT] if self._tenants else []),
+        ]
         for name in required:
             if not headers.get(name) or name in message.repeated:
                 raise MessageError(400, f"{name.decode()} is missing or repeated")
         if not TOKEN.fullmatch(headers[REQUEST_ID]):
             raise MessageError(400, "bad id")
-        class_index = self._classes.get(headers[CLASS])
+        class_index = self._class_index(message, path)
         tenant = self._tenants.get(headers[TENANT]) if self._tenants else 0
         if class_index is None or tenant is None:
             raise MessageError(400, "unknown class or tenant")
@@ -432,6 +440,23 @@
             is_repeat=headers.get(RETRY) == b"1",
         )
 
+    def _class_index(self, message: Message, path: bytes) -> int | None:
+        """By its route where there are routes, else as the request says; None for an unknown one.
+
+        A request that says another class than its route is turned down: what the operator's file forbids to
+        repeat must not be repeated because an application mistook its class.
+        """
+        told = message.headers.get(CLASS)
+        named = None if told is None else self._classes.get(told)
+        if not self._routes:
+            return named
+        routed = class_of(self._routes, message.method, path.removeprefix(b"/api"))
+        if routed is None:
+            raise MessageError(404, "no route")
+        if (told is not None and named != routed) or CLASS in message.repeated:
+            raise MessageError(400, "class does not fit the route")
+        return routed
+
     @staticmethod
     def _check_method(message: Message, effect: Effect) -> None:
         """The method and the key must say of the effect what the class says: rule 2 rests on it."""
--- a/leadrudder/node/config.py
+++ b/leadrudder/node/config.py
@@ -11,6 +11,7 @@
 from leadrudder.interface import ImpossibleSettings, Settings
 from leadrudder.node.discovery import ListError, Listing, Naming
 from leadrudder.node.platform import SYSTEM, Platform
+from leadrudder.node.routes import Route
 from leadrudder.settings import SettingsError, read_settings
 
 _DEFAULT_CONN_IDLE_MS = 15_000.0
@@ -46,6 +47,7 @@
     naming: Naming
     known: Listing | None
     conn_idle_ms: float
+    routes: tuple[Route, ...] = ()  # none: requests name their class themselves
 
 
 def load(environment: Mapping[str, str], platform: Platform = SYSTEM) -> Config:
@@ -71,6 +73,7 @@
         naming=naming,
         known=_known(raw.get("known"), naming),
         conn_idle_ms=_conn_idle(values),
+        routes=_routes(raw.get("routes", []), settings),
     )
 
 
@@ -145,6 +148,22 @@
         raise ConfigError(f"known: {error}") from None
 
 
+def _routes(raw: Any, settings: Settings) -> tuple[Route, ...]:
+    """Of a sidecar's node: which class a request is of by its method and path."""
+    if not isinstance(raw, list):
+        raise ConfigError(f"routes is not a list: {raw!r}")
+    classes = {kind.name: i for i, kind in enumerate(settings.classes)}
+    routes = []
+    for i, item in enumerate(raw):
+        if not isinstance(item, dict):
+            raise ConfigError(f"routes.{i} is not an object: {item!r}")
+        method, path, name = (_member(item, key, str) for key in ("method", "path", "class"))
+        if name not in classes:
+            raise ConfigError(f"routes.{i}.class is no class of the settings: {name!r}")
+        routes.append(Route(method, path, classes[name]))
+    return tuple(routes)
+
+
 def _conn_idle(values: Mapping[str, str]) -> float:
     text = values.get("policyLimits.connIdleMs", str(_DEFAULT_CONN_IDLE_MS))
     try:
--- a/leadrudder/node/node.py
+++ b/leadrudder/node/node.py
@@ -123,6 +123,7 @@
             most=int(CALLERS_PART * sockets),
             most_bytes=int(BODIES_PART * config.limits.memory_mb * 1_000_000),
             platform=platform,
+            routes=config.routes,
         )
         self._discovery = Discovery(
             config.discovery,
--- a/leadrudder/tool/checks.py
+++ b/leadrudder/tool/checks.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from leadrudder.node.routes import covers
 from leadrudder.tool.model import File, Listener, Tier
 from leadrudder.tool.source import Path
 
@@ -388,13 +389,6 @@
                 break
 
 
-def covers(wide: str, narrow: str) -> bool:
-    """Whether a route's path takes all that another's does."""
-    if wide.endswith("/*"):
-        return narrow == wide[:-2] or narrow.startswith(wide[:-1])
-    return wide == narrow
-
-
 def routes_are_reached(file: File) -> Iterator[Finding]:
     for i, route in enumerate(file.route):
         for j, other in enumerate(file.route[:i]):
--- a/leadrudder/tool/commands.py
+++ b/leadrudder/tool/commands.py
@@ -5,9 +5,11 @@
 import asyncio
 import json
 import sys
+from collections.abc import Mapping
 from pathlib import Path
 
 import click
+from click.shell_completion import get_completion_class
 
 from leadrudder.tool.check import Checked, check_sources
 from leadrudder.tool.check import check as check_files
@@ -17,6 +19,7 @@
 from leadrudder.tool.model import File
 from leadrudder.tool.problems import report
 from leadrudder.tool.render import render as render_file
+from leadrudder.tool.sidecar.machine import machine_lacks
 from leadrudder.tool.sidecar.supervisor import Supervisor, Terms
 from leadrudder.tool.source import Unreadable, parse, read
 from leadrudder.tool.template import template, write
@@ -66,16 +69,41 @@
     return 0
 
 
+QUESTIONS = {
+    "application": "The application's name: small letters, digits and dashes.",
+    "tier": "What its servers are called.",
+    "listen": "Where the application calls its node, host:port.",
+    "discovery": "Where its servers are listed, host:port.",
+}
+DEFAULTS = {"tier": "palvelu", "listen": "127.0.0.1:8100", "discovery": "127.0.0.1:8500"}
+
+
+def _answers(told: Mapping[str, str | None]) -> dict[str, str]:
+    """What flags say; the rest is asked for, or has its default where the application is named by a flag."""
+    asked = told["application"] is None
+    found: dict[str, str] = {}
+    for name, question in QUESTIONS.items():
+        value = told[name]
+        if value is None:
+            default = DEFAULTS.get(name)
+            value = click.prompt(question, default=default, err=True) if asked else default
+        found[name] = str(value)
+    return found
+
+
 @click.command()
 @click.argument("file", type=click.Path(path_type=Path))
-@click.option("--application", prompt=True, help="Its name: small letters, digits and dashes.")
-@click.option("--tier", default="palvelu", show_default=True, help="What its servers are called.")
-@click.option("--listen", default="127.0.0.1:8100", show_default=True, help="Where the application calls.")
-@click.option("--discovery", default="127.0.0.1:8500", show_default=True, help="Where servers are listed.")
+@click.option("--application", help=QUESTIONS["application"])
+@click.option("--tier", help=f"{QUESTIONS['tier']}  [default: {DEFAULTS['tier']}]")
+@click.option("--listen", help=f"{QUESTIONS['listen']}  [default: {DEFAULTS['listen']}]")
+@click.option("--discovery", help=f"{QUESTIONS['discovery']}  [default: {DEFAULTS['discovery']}]")
 @click.option("--force", is_flag=True, help="Replace a file that is there.")
-def init(file: Path, application: str, tier: str, listen: str, discovery: str, force: bool) -> int:
-    """Write a commented FILE for an application; nothing is written unless it would pass check."""
-    text = template(str(file), application, tier, listen, discovery)
+def init(file: Path, force: bool, **told: str | None) -> int:
+    """Write a commented FILE for an application; nothing is written unless it would pass check.
+
+    Without --application it asks for all that no flag says.
+    """
+    text = template(str(file), **_answers(told))
     done = Checked()
     try:
         check_sources([parse(str(file), text)], done)
@@ -116,6 +144,11 @@
         _complain(done)
         return done.exit_code
 
+    lacking = machine_lacks(done.files[0])
+    if lacking:
+        print(f"leadrudder: {lacking}", file=sys.stderr)
+        return 1
+
     async def main() -> int:
         return await Supervisor(done.files[0], command, Terms(ready_s, stop_s)).run()
 
@@ -159,3 +192,19 @@
         print(change)
     print(f"{len(changes)} differences" if changes else "no difference")
     return 0
+
+
+@click.command()
+@click.argument("shell", type=click.Choice(["bash", "fish", "zsh"]))
+@click.pass_context
+def completion(context: click.Context, shell: str) -> int:
+    """Print the lines that make SHELL complete leadrudder's commands, options and files.
+
+    For bash, once: leadrudder completion bash >> ~/.bashrc
+    """
+    root = context.find_root()
+    name = root.info_name or "leadrudder"
+    of_shell = get_completion_class(shell)
+    assert of_shell is not None  # each of the choices is one that the library knows
+    print(of_shell(root.command, {}, name, f"_{name.upper()}_COMPLETE").source())
+    return 0
--- a/leadrudder/tool/explain.py
+++ b/leadrudder/tool/explain.py
@@ -9,7 +9,7 @@
 
 from pydantic import BaseModel
 
-from leadrudder.tool.checks import covers
+from leadrudder.node.routes import covers
 from leadrudder.tool.model import File, RequestClass, Route, Tier
 from leadrudder.tool.source import Source
 
--- a/leadrudder/tool/render.py
+++ b/leadrudder/tool/render.py
@@ -41,6 +41,11 @@
             "memory_mb": file.limits.memory_mb,
             "sockets": file.limits.descriptors,
         },
+        "routes": [
+            {"method": route.method, "path": route.path, "class": route.request_class}
+            for route in file.route
+            if route.listener == listener.name
+        ],
         "settings": _settings(file, listener, tier),
     }
     environment = {
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -15,6 +15,7 @@
 from leadrudder.node.config import Config, Limits, flat
 from leadrudder.node.discovery import Naming
 from leadrudder.node.node import Node
+from leadrudder.node.routes import Route
 from leadrudder.settings import read_settings
 
 HOST = "127.0.0.1"
@@ -323,7 +324,12 @@
 
 @contextlib.asynccontextmanager
 async def world(
-    *rows: dict[str, Any], sockets: int = 256, known: bool = True, path: str = "", **changes: Any
+    *rows: dict[str, Any],
+    sockets: int = 256,
+    known: bool = True,
+    path: str = "",
+    routes: tuple[Route, ...] = (),
+    **changes: Any,
 ) -> AsyncIterator[World]:
     """A node that knows these servers; changes go into its settings."""
     naming = Naming(("hall",), ("std",))
@@ -340,6 +346,7 @@
             naming=naming,
             known=naming.read(listing(1, *rows)) if known else None,
             conn_idle_ms=30_000.0,
+            routes=routes,
         )
         node = Node(config)
         address = await node.start()
--- a/tests/tool/test_check.py
+++ b/tests/tool/test_check.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import graphlib
 import json
 import os
 from pathlib import Path
@@ -15,6 +16,7 @@
 from leadrudder.settings import SettingsError
 from leadrudder.tool import source
 from leadrudder.tool.check import Checked, check, check_sources
+from leadrudder.tool.checks import collide
 from leadrudder.tool.render import render
 from leadrudder.tool.source import Unreadable, parse
 from tests.tool.samples import BASE, BROKEN, GOOD, LEAST, Broken
@@ -276,6 +278,48 @@
             pytest.fail(f"accepted, and a node does not start: {error}")
 
 
+_FILES = st.lists(
+    st.builds(
+        lambda name, calls, port, cut: (
+            LEAST.replace('{name = "pieni"}', f'{{name = "{name}", calls = {json.dumps(calls)}}}').replace(
+                "127.0.0.1:2", port
+            )[: None if cut > 200 else cut]
+        ),
+        st.sampled_from("abcd"),
+        st.lists(st.sampled_from("abcd"), max_size=3),
+        st.sampled_from(["127.0.0.1:2", "127.0.0.1:3", "127.0.0.2:2", "0.0.0.0:2", "[::1]:2"]),
+        st.integers(150, 1000),
+    ),
+    min_size=2,
+    max_size=5,
+)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(_FILES)
+def test_several_files_are_accepted_together_only_if_their_nodes_can_start_together(texts: list[str]) -> None:
+    """Whatever names, calls and addresses: never a traceback; what passes claims no port or name twice."""
+    done = Checked()
+    sources = []
+    for i, text in enumerate(texts):
+        try:
+            sources.append(parse(f"{i}.toml", text))
+        except Unreadable:
+            done.unreadable = True
+    check_sources(sources, done)
+    assert all(problem.file in {f"{i}.toml" for i in range(len(texts))} for problem in done.problems)
+    if done.problems or done.unreadable:
+        return
+    _starts(done)
+    listeners = [listener.address for file in done.files for listener in file.listener]
+    assert not any(collide(a, b) for i, a in enumerate(listeners) for b in listeners[:i])
+    names = [file.application.name for file in done.files]
+    assert len(set(names)) == len(names) == len(texts)
+    calls = {file.application.name: file.application.calls for file in done.files}
+    order = graphlib.TopologicalSorter({name: set(calls[name]) for name in names})
+    order.prepare()  # CycleError where a call comes back to its application
+
+
 # ---------------------------------------------------------------- the command
 
 
--- a/tests/tool/test_sidecar.py
+++ b/tests/tool/test_sidecar.py
@@ -8,12 +8,16 @@
 import signal
 import socket
 import sys
+import tomllib
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from pathlib import Path
 
 import pytest
 
+from leadrudder.cli import main as cli_main
+from leadrudder.tool.model import File
+from leadrudder.tool.sidecar.machine import Machine, machine_lacks
 from leadrudder.tool.sidecar.pauses import LONGEST_S, PROVEN_S, Pauses
 from leadrudder.tool.sidecar.supervisor import exit_code
 from tests.stubs import HOST, PATIENCE_S, StubDiscovery, StubServer, listing, reply, row, run, tell
@@ -26,6 +30,12 @@
 class = [{{name = "haku", effect = "safe", aim_ms = 1000, deadline_ms = 3000}}]
 route = [{{method = "GET", path = "/*", listener = "l", class = "haku"}}]
 """
+ASK_WITHOUT_CLASS = """
+import sys, urllib.request
+request = urllib.request.Request("http://127.0.0.1:{port}/x", headers={{
+    "X-Request-Id": "1", "X-Deadline": "2.0"}})
+print(urllib.request.urlopen(request, timeout=5).read().decode(), flush=True)
+"""
 ASK = """
 import sys, urllib.request
 request = urllib.request.Request("http://127.0.0.1:{port}/api/x", headers={{
@@ -243,6 +253,46 @@
     run(main())
 
 
+def test_the_nodes_classes_come_from_the_files_routes(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with _sidecar(tmp_path, ASK_WITHOUT_CLASS) as sidecar:
+            await sidecar.list_server()
+            assert await sidecar.line() == "served"
+            assert await sidecar.code() == 0
+            assert len(sidecar.server.received) == 1
+
+    run(main())
+
+
+def _file(**limits: int) -> File:
+    return File.model_validate(
+        {**tomllib.loads(FILE.format(stop="nodes-first", discovery="127.0.0.1:1", port=2)), "limits": limits}
+    )
+
+
+def test_what_the_machine_does_not_allow_is_told_in_one_line() -> None:
+    small = Machine(descriptors=512, memory_mb=100)
+    assert machine_lacks(_file(), small) is None
+    assert machine_lacks(_file(descriptors=512, memory_mb=100), small) is None
+    lacks = machine_lacks(_file(descriptors=513), small)
+    assert lacks is not None and "is 513, and a process may open 512 here" in lacks
+    lacks = machine_lacks(_file(memory_mb=101), small)
+    assert lacks is not None and "want 101 MB, and this machine has 100" in lacks
+    assert machine_lacks(_file(descriptors=1_048_576, memory_mb=65_536), Machine(None, None)) is None
+
+
+def test_a_sidecar_beyond_its_machine_starts_nothing(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Machine, "this", classmethod(lambda cls: Machine(64, None)))
+    path, mark = tmp_path / "a.toml", tmp_path / "started"
+    path.write_text(FILE.format(stop="nodes-first", discovery="127.0.0.1:1", port=2))
+    assert cli_main(["sidecar", str(path), "--", "touch", str(mark)]) == 1
+    said = capsys.readouterr().err
+    assert said.startswith("leadrudder: limits.descriptors is 256") and said.count("\n") == 1
+    assert not mark.exists()
+
+
 def test_a_bad_file_starts_nothing(tmp_path: Path) -> None:
     async def main() -> None:
         async with _sidecar(tmp_path, "print('started')", stop="never") as sidecar:
