--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -17,7 +17,6 @@
 import os
 import re
 import statistics
-import subprocess
 import sys
 import tempfile
 from dataclasses import dataclass
@@ -26,7 +25,8 @@
 
 import uvloop
 
-ROOT = Path(__file__).parent.parent
+from bench.revision import ROOT, unpack
+
 HOST = "127.0.0.1"
 CLIENTS = 16
 WARM_UP = 2000
@@ -203,15 +203,10 @@
     parser.add_argument("--rounds", type=int, default=7)
     chosen = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
-        other = Path(folder) / "other"
-        other.mkdir()
-        archive = subprocess.run(
-            ["git", "archive", chosen.against], cwd=ROOT, check=True, capture_output=True
-        ).stdout
-        subprocess.run(["tar", "-xf", "-", "-C", str(other)], input=archive, check=True)
-        old = "leadrudder" if (other / "leadrudder").is_dir() else "fawngw"
         (now, now_mb), (then, then_mb) = uvloop.run(
-            _measure([(ROOT, "leadrudder"), (other, old)], chosen.requests, chosen.rounds)
+            _measure(
+                [(ROOT, "leadrudder"), unpack(chosen.against, Path(folder))], chosen.requests, chosen.rounds
+            )
         )
     ratio = statistics.median(a / b for a, b in zip(now, then, strict=True))
     print(
--- /dev/null
+++ b/bench/revision.py
@@ -0,0 +1,20 @@
+"""Another revision of this repository, unpacked to be measured against."""
+
+from __future__ import annotations
+
+import subprocess
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+
+def unpack(revision: str, folder: Path) -> tuple[Path, str]:
+    """Its tree, below the folder, and the name that its package had.
+
+    subprocess.CalledProcessError where there is no such revision.
+    """
+    tree = folder / "other"
+    tree.mkdir()
+    archive = subprocess.run(["git", "archive", revision], cwd=ROOT, check=True, capture_output=True).stdout
+    subprocess.run(["tar", "-xf", "-", "-C", str(tree)], input=archive, check=True)
+    return tree, "leadrudder" if (tree / "leadrudder").is_dir() else "fawngw"
--- a/leadrudder/node/discovery.py
+++ b/leadrudder/node/discovery.py
@@ -210,10 +210,13 @@
         self._successor: _Watch | None = None  # at the address that discovery moved to, until it speaks
         self._timer: asyncio.TimerHandle | None = None
 
-    def start(self, version: int) -> None:
-        """Begin from the version of the known list."""
-        self._version = version
-        if self._pushed:
+    def start(self, version: int | None) -> None:
+        """Begin from the version of the known list; None: there is none, and it is asked for at once.
+
+        The module spreads the nodes' first calls, which only those that know a list can wait for.
+        """
+        self._version = version or 0
+        if self._pushed or version is None:
             self.subscribe()
 
     def subscribe(self) -> None:
--- a/leadrudder/node/node.py
+++ b/leadrudder/node/node.py
@@ -142,7 +142,7 @@
         known = self._config.known
         if known is not None:
             self._follow(known, cached=True)
-        self._discovery.start(known.version if known is not None else 0)
+        self._discovery.start(known.version if known is not None else None)
         host, port = await self._callers.listen(self._config.listen)
         log.info("node %s listens on %s:%d", self._config.name, host, port)
         return host, port
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -327,6 +327,25 @@
     run(main())
 
 
+def test_a_node_that_knows_no_list_asks_for_one_at_once_and_again() -> None:
+    """A sidecar's first start: nobody but discovery can tell it of a server."""
+
+    async def main() -> None:
+        async with (
+            StubServer([reply("200 OK")]) as server,
+            world(known=False) as w,
+        ):
+            (await w.discovery.watch()).close()
+            watch = await w.discovery.watch()
+            tell(watch, listing(5, row("a", server.address)))
+            caller = await w.caller()
+            while (await caller.ask(target="/ready")).status != 200:
+                await asyncio.sleep(0)
+            assert (await caller.ask("look")).status == 200
+
+    run(main())
+
+
 def test_a_pushed_list_is_watched_unasked_and_again_after_a_break() -> None:
     async def main() -> None:
         async with (
--- a/tests/tool/test_sidecar.py
+++ b/tests/tool/test_sidecar.py
@@ -25,7 +25,7 @@
 FILE = """\
 version = 1
 application = {{name = "pieni", stop = "{stop}"}}
-tier = [{{name = "t", discovery = "{discovery}", list = "pushed"}}]
+tier = [{{name = "t", discovery = "{discovery}", list = "{list}"}}]
 listener = [{{name = "l", address = "127.0.0.1:{port}", tier = "t"}}]
 class = [{{name = "haku", effect = "safe", aim_ms = 1000, deadline_ms = 3000}}]
 route = [{{method = "GET", path = "/*", listener = "l", class = "haku"}}]
@@ -89,12 +89,12 @@
 
 @contextlib.asynccontextmanager
 async def _sidecar(
-    folder: Path, code: str, *options: str, stop: str = "application-first"
+    folder: Path, code: str, *options: str, stop: str = "application-first", how: str = "pushed"
 ) -> AsyncIterator[Sidecar]:
     async with StubServer([reply("200 OK", b"served")]) as server, StubDiscovery() as discovery:
         port = _free_port()
         file = folder / "a.toml"
-        file.write_text(FILE.format(stop=stop, discovery=discovery.address, port=port))
+        file.write_text(FILE.format(list=how, stop=stop, discovery=discovery.address, port=port))
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -133,9 +133,12 @@
         os.close(descriptor)
 
 
-def test_the_application_starts_when_its_node_is_ready_and_its_exit_code_is_kept(tmp_path: Path) -> None:
+@pytest.mark.parametrize("how", ["asked", "pushed"])
+def test_the_application_starts_when_its_node_is_ready_and_its_exit_code_is_kept(
+    how: str, tmp_path: Path
+) -> None:
     async def main() -> None:
-        async with _sidecar(tmp_path, ASK + "sys.exit(7)") as sidecar:
+        async with _sidecar(tmp_path, ASK + "sys.exit(7)", how=how) as sidecar:
             await sidecar.list_server()
             assert await sidecar.line() == "served"
             assert await sidecar.code() == 7
@@ -266,7 +269,10 @@
 
 def _file(**limits: int) -> File:
     return File.model_validate(
-        {**tomllib.loads(FILE.format(stop="nodes-first", discovery="127.0.0.1:1", port=2)), "limits": limits}
+        {
+            **tomllib.loads(FILE.format(list="pushed", stop="nodes-first", discovery="127.0.0.1:1", port=2)),
+            "limits": limits,
+        }
     )
 
 
@@ -286,7 +292,7 @@
 ) -> None:
     monkeypatch.setattr(Machine, "this", classmethod(lambda cls: Machine(64, None)))
     path, mark = tmp_path / "a.toml", tmp_path / "started"
-    path.write_text(FILE.format(stop="nodes-first", discovery="127.0.0.1:1", port=2))
+    path.write_text(FILE.format(list="pushed", stop="nodes-first", discovery="127.0.0.1:1", port=2))
     assert cli_main(["sidecar", str(path), "--", "touch", str(mark)]) == 1
     said = capsys.readouterr().err
     assert said.startswith("leadrudder: limits.descriptors is 256") and said.count("\n") == 1
