--- /dev/null
+++ b/leadrudder/estimators.py
@@ -0,0 +1,51 @@
+"""Plain running statistics: means that move, rates that fade.  No decisions, no clock of their own."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+DEVIATIONS = 4.0  # patience = mean + this many mean deviations, as in TCP's time-out
+LATE_LEAST = 2.0  # and at least this many means, for work that always takes the same time
+
+
+@dataclass(slots=True)
+class Patience:
+    """Mean and mean deviation of served latencies: what an attempt may take before it is late."""
+
+    mean: float = 0.0
+    deviation: float = 0.0
+
+    def observe(self, latency: float) -> None:
+        if self.mean == 0.0:
+            self.mean, self.deviation = latency, latency / 2
+        else:
+            self.deviation += 0.1 * (abs(latency - self.mean) - self.deviation)
+            self.mean += 0.1 * (latency - self.mean)
+
+    def late(self) -> float:
+        return max(self.mean + DEVIATIONS * self.deviation, LATE_LEAST * self.mean) if self.mean else math.inf
+
+
+@dataclass(slots=True)
+class Rate:
+    """An exponentially fading count of units a millisecond, true from its first moments on."""
+
+    span: float
+    start: float | None = None
+    count: float = 0.0
+    at: float = 0.0
+
+    def add(self, units: float, now: float) -> None:
+        if self.start is None:
+            self.start = now
+        self.count = self._faded(now) + units
+        self.at = now
+
+    def per_ms(self, now: float) -> float:
+        if self.start is None:
+            return 0.0
+        return self._faded(now) / (self.span * (1.0 - math.exp(-max(now - self.start, 1.0) / self.span)))
+
+    def _faded(self, now: float) -> float:
+        return self.count * math.exp(-(now - self.at) / self.span) if self.count else 0.0
--- a/leadrudder/policy/decide.py
+++ b/leadrudder/policy/decide.py
@@ -13,9 +13,10 @@
 import math
 import random
 from bisect import insort
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from leadrudder.estimators import Patience, Rate
 from leadrudder.interface import (
     NEVER_RAN,
     Action,
@@ -48,21 +49,7 @@
     TimerFired,
     UnexpectedEvent,
 )
-
-# The automaton.  A copy sees few calls over many servers, so both steps are far above the paper's.
-ALPHA = 0.15  # an average spans about seven of its server's calls
-THETA_SHARE = 0.06  # theta = this / r; with the floor the walk of equals stays under a sixth of a share
-# N nodes share the calls, so each learns at an N-th of the rate, while the walks of their vectors cancel out
-# in what a server gets from all of them.  theta = this * N / r keeps that sum as steady as three nodes at
-# the share above keep it; over K listed kinds in place of r servers the same holds.
-THETA_NODES = 0.02
-ALPHA_NODES = ALPHA / 3  # per node, for the same reason
-ALPHA_MOST = 0.5  # an average of a sparse view still spans two calls
-THETA_MOST = 0.1  # of alpha: the averages must stay well ahead of the shares of servers
-THETA_KIND_MOST = 1 / 3  # of alpha: the shares of kinds rest on the averages of many servers
-FLOOR_SHARE = 0.4  # p_min = this / r; also pulls shares that latency cannot tell apart back to uniform
-NEWCOMER_SHARE = 0.5  # a newcomer's part of the mean share until it has shown what it can do
-CHARGE_CAP = 3.0  # a failure enters an average at no more than this many means: silence lifts no threshold
+from leadrudder.policy.automaton import Automaton
 
 # Server health, always against peers.
 FAIL_STEP = 0.3  # two failures in a row cross FAIL_EJECT, one never does
@@ -74,8 +61,6 @@
 EJECT_MOST = 0.34  # part of the fleet that may be out at once
 BAR_MOST = 0.5  # and that may be out for one class: these go on serving the others, so no capacity is lost
 PANIC = 0.5  # with more than this part unhealthy, health is ignored: the cause is not the servers
-DEVIATIONS = 4.0  # patience = mean + this many mean deviations, as in TCP's time-out
-LATE_LEAST = 2.0  # and at least this many means, for work that always takes the same time
 # Time out is told in cold times, as what broke a server mostly starts it anew; but where servers warm up in
 # a second, what ails one still lasts for many answers: one that failed a class was tried every second.
 EJECT_AIMS = 4.0
@@ -95,6 +80,12 @@
 
 WAITING_MOST = 4.0  # calls that may wait at a server, over all nodes, by its average against the calmest
 
+# Fleets of more servers than this are not looked through for each request: a draw from all that are open is
+# tried so many times, and a whole look is had only as often as it costs so many servers a request.
+SCAN_MOST = 32
+TRIES = 16
+SCAN_EACH = 64
+
 # Admission.
 TARGET = 0.4  # latencies are kept below this part of the aim, less for inner tiers
 TARGET_TIMES = 1.6  # and this many times the calmest lateness, where the aim leaves little room
@@ -126,126 +117,6 @@
 HOME_COVER = 3  # nodes that must share each server at the least, for their walks to cancel out
 
 
-# ---------------------------------------------------------------- the automaton
-
-
-class Automaton:
-    """A floored probability vector over servers and a latency average for each."""
-
-    __slots__ = ("_index", "_kinds", "_nodes", "alpha", "average", "p", "servers", "theta", "theta_kind")
-
-    def __init__(self, nodes: int = 1) -> None:
-        self.servers: list[ServerId] = []
-        self.p: list[float] = []
-        self.average: list[float | None] = []  # None: not called yet, counts as the mean of the others
-        self.alpha = min(max(ALPHA, ALPHA_NODES * nodes), ALPHA_MOST)
-        self.theta = 0.0  # the steps are set with the servers
-        self.theta_kind = 0.0  # 0 where all are listed as of one kind
-        self._nodes = nodes
-        self._kinds: list[int] = []
-        self._index: dict[ServerId, int] = {}
-
-    def mean(self) -> float | None:
-        """The payoff threshold: the mean of all averages, None before any answer."""
-        known = [a for a in self.average if a is not None]
-        return sum(known) / len(known) if known else None
-
-    def draw(self, eligible: Sequence[int], u: float) -> int:
-        """The index drawn by u in [0, 1) from the vector conditioned on the eligible."""
-        p = self.p
-        left = u * sum(p[i] for i in eligible)
-        for i in eligible:
-            left -= p[i]
-            if left < 0.0:
-                return i
-        return eligible[-1]
-
-    def learn(self, server: ServerId, latency: float) -> bool:
-        """An answered call: move its server's average, and the vector if the call paid off."""
-        i = self._index.get(server)
-        if i is None:
-            return False
-        threshold = self._move(i, latency)
-        if latency >= threshold:
-            return False
-        r = len(self.p)
-        theta, p_min = self.theta, FLOOR_SHARE / r
-        p_max = 1.0 - (r - 1) * p_min
-        mine = self.p[i]
-        self.p = [x + theta * (p_min - x) for x in self.p]
-        self.p[i] = mine + theta * (p_max - mine)
-        if self.theta_kind:
-            self._favour_kind(self._kinds[i], p_min)
-        return True
-
-    def _favour_kind(self, kind: int, p_min: float) -> None:
-        """A payoff speaks for the servers listed as of the same kind, too: their shares grow in proportion.
-
-        Guards against a fleet in which a node's calls to any one server are too few to tell slow machines
-        from fast ones before the slow are driven into the ground, seen within four seconds at full size.
-        """
-        theta, kinds = self.theta_kind, self._kinds
-        same = sum(x for x, k in zip(self.p, kinds, strict=True) if k == kind)
-        lost = theta * (1.0 - same - p_min * (len(kinds) - kinds.count(kind)))
-        grow = 1.0 + lost / same
-        self.p = [
-            x * grow if k == kind else x + theta * (p_min - x) for x, k in zip(self.p, kinds, strict=True)
-        ]
-
-    def charge(self, server: ServerId, latency: float) -> None:
-        """A failed call: a miss.  A fast error must not look quick, nor a silence lift the threshold."""
-        i = self._index.get(server)
-        mean = self.mean()
-        if i is not None and mean is not None:
-            self._move(i, min(max(latency, mean), CHARGE_CAP * mean))
-
-    def _move(self, i: int, latency: float) -> float:
-        """Move the chosen server's average only; returns the threshold for this call."""
-        mean = self.mean()
-        if mean is None:  # the first answer of all is every server's starting value
-            self.average = [latency] * len(self.average)
-            return latency
-        old = self.average[i]
-        start = mean if old is None else old
-        self.average[i] = start + self.alpha * (latency - start)
-        return self.mean() or latency
-
-    def resize(self, weights: Mapping[ServerId, float], kinds: Mapping[ServerId, int] | None = None) -> None:
-        """Take in a new set of servers: the others keep their ratios, a newcomer gets a modest share."""
-        stay = [s for s in self.servers if s in weights]
-        ratios: list[float] = [self.p[self._index[s]] for s in stay]
-        averages: list[float | None] = [self.average[self._index[s]] for s in stay]
-        new = [s for s in weights if s not in self._index]
-        unit = NEWCOMER_SHARE * sum(ratios) / sum(weights[s] for s in stay) if stay else 1.0
-        self.servers = stay + new
-        self.average = averages + [None] * len(new)
-        self._index = {s: i for i, s in enumerate(self.servers)}
-        self.p = _floored(ratios + [unit * weights[s] for s in new])
-        self._kinds = [kinds[s] if kinds else 0 for s in self.servers]
-        if self.servers:
-            of_nodes = THETA_NODES * self._nodes
-            self.theta = min(max(THETA_SHARE, of_nodes) / len(self.p), THETA_MOST * self.alpha)
-            different = len(set(self._kinds))
-            step = min(of_nodes / different, THETA_KIND_MOST * self.alpha)
-            self.theta_kind = step if different > 1 else 0.0
-
-
-def _floored(ratios: Sequence[float]) -> list[float]:
-    """Shares that sum to 1 and keep the ratios of all that stand above the floor."""
-    r = len(ratios)
-    if not r:
-        return []
-    p_min = FLOOR_SHARE / r
-    low: set[int] = set()
-    while True:
-        total = sum(x for i, x in enumerate(ratios) if i not in low)
-        scale = (1.0 - len(low) * p_min) / total if total > 0 else 0.0
-        under = {i for i, x in enumerate(ratios) if i not in low and x * scale < p_min}
-        if not under:
-            return [p_min if i in low else x * scale for i, x in enumerate(ratios)]
-        low |= under
-
-
 def _beyond_chance(rate: float) -> float:
     """What an average by FAIL_STEP reaches in a run of failures that is no chance at this usual rate."""
     run = math.log(FAIL_CHANCE) / math.log(rate) if rate > 0.0 else 0.0
@@ -257,51 +128,6 @@
     return out + 1 <= max(1.0, most * servers)
 
 
-# ---------------------------------------------------------------- small estimators
-
-
-@dataclass(slots=True)
-class Patience:
-    """Mean and mean deviation of served latencies: what an attempt may take before it is late."""
-
-    mean: float = 0.0
-    deviation: float = 0.0
-
-    def observe(self, latency: float) -> None:
-        if self.mean == 0.0:
-            self.mean, self.deviation = latency, latency / 2
-        else:
-            self.deviation += 0.1 * (abs(latency - self.mean) - self.deviation)
-            self.mean += 0.1 * (latency - self.mean)
-
-    def late(self) -> float:
-        return max(self.mean + DEVIATIONS * self.deviation, LATE_LEAST * self.mean) if self.mean else math.inf
-
-
-@dataclass(slots=True)
-class Rate:
-    """An exponentially fading count of units a millisecond, true from its first moments on."""
-
-    span: float
-    start: float | None = None
-    count: float = 0.0
-    at: float = 0.0
-
-    def add(self, units: float, now: float) -> None:
-        if self.start is None:
-            self.start = now
-        self.count = self._faded(now) + units
-        self.at = now
-
-    def per_ms(self, now: float) -> float:
-        if self.start is None:
-            return 0.0
-        return self._faded(now) / (self.span * (1.0 - math.exp(-max(now - self.start, 1.0) / self.span)))
-
-    def _faded(self, now: float) -> float:
-        return self.count * math.exp(-(now - self.at) / self.span) if self.count else 0.0
-
-
 # ---------------------------------------------------------------- state of servers and requests
 
 
@@ -351,6 +177,10 @@
     rest_until: float = -math.inf
     turned_away: int = 0  # calls, since it last served one
     ceiling: float = math.inf  # calls of ours that it is known to bear, once it has turned one away
+    at: int = -1  # its index among the arms
+    special: bool = False  # anything but warm, healthy and idle: it is looked at before it is sent to
+    cold: bool = False
+    due: float = -math.inf  # until then it rests, is cold or barred
     tokens: float = 0.0  # cold budget, in calls of mean work
     tokens_at: float = 0.0
 
@@ -378,6 +208,27 @@
         return self.kind.repeat and self.kind.effect is not Effect.UNSAFE
 
 
+@dataclass(slots=True)
+class _Look:
+    """What is the same for all servers while one is drawn for a request."""
+
+    request: Request
+    mean: float  # of all averages
+    total: int  # calls out
+    late: float
+    flow: float | None = None  # to a warm server; counted once, and only if a server is cold
+    risky: bool = field(init=False)
+    tried: set[ServerId] = field(init=False)
+
+    def __post_init__(self) -> None:
+        attempts = self.request.attempts
+        self.risky = any(a.may_have_run() for a in attempts)
+        self.tried = {a.entry.server for a in attempts}
+
+
+# How a server stands to a request.
+FORBIDDEN, CLASS_SICK, SICK, BUSY, FIT = range(5)
+
 # Kinds of internal timers.
 _HEDGE, _LIST, _RETURN, _RECHECK = range(4)
 
@@ -390,8 +241,20 @@
         self.automaton = Automaton(settings.balancers)
         self._rng = random.Random(seed)
         self._servers: dict[ServerId, Server] = {}
-        self._home: list[bool] = []  # in the same order: whether the node keeps to this server
         self._arms: list[Server] = []  # in the automaton's order
+        self._home: list[bool] = []  # in the same order: whether the node keeps to this server
+        self._home_few: list[int] = []  # their indices, where they are few
+        self._near_most = 0  # servers that the node keeps to
+        self._special: dict[int, Server] = {}  # of the arms; all others are warm, healthy and idle
+        self._due: list[tuple[float, int, Server]] = []  # when to look again whether one still is special
+        self._cold_arms = 0
+        self._turned = 0  # arms that turned a call away, and served none since
+        self._ejected = 0
+        self._fails = 0.0  # the sum of fail over all arms that are not ejected
+        self._class_fails = [0.0] * len(settings.classes)  # the same of each class, over all arms
+        self._class_usual = [0.0] * len(settings.classes)
+        self._scans = 0.0  # servers that may be looked at beyond those drawn
+        self._panic: list[tuple[bool, int]] = [(False, 0)] * len(settings.classes)  # and decisions since
         self._requests: dict[RequestId, Request] = {}
         self._attempts: dict[tuple[RequestId, int], tuple[Server, Attempt]] = {}
         self._queue: list[tuple[float, int, Request]] = []  # by worth, then age
@@ -444,6 +307,8 @@
         """The actions that follow from one event."""
         self._actions = []
         self._now = now
+        while self._due and self._due[0][0] <= now:
+            self._note(heapq.heappop(self._due)[2])
         if isinstance(event, AttemptEnded):
             self._on_ended(event)
         elif isinstance(event, Arrival):
@@ -529,8 +394,11 @@
             if s.listed
         }
         self.automaton.resize(weights, {name: self._servers[name].entry.kind for name in weights})
+        for server in self._arms:
+            server.at = -1
         self._arms = [self._servers[name] for name in self.automaton.servers]
         self._choose_home()
+        self._note_all()
         if not self._strained:
             # All nodes of the tier start alike: each takes its part of what the fleet may hold.
             self._limit = max(self._limit, LIMIT_START * self._part())
@@ -663,61 +531,177 @@
         return len(self._attempts) + request.chance < self._limit
 
     def _place(self, request: Request, last_resort: bool) -> bool:
-        pool = self._pool(request, last_resort)
-        if not pool:
-            return False
-        return self._send(request, self._arms[self.automaton.draw(pool, self._rng.random())])
+        i = self._pick(request, last_resort)
+        return i is not None and self._send(request, self._arms[i])
 
     # ------------------------------------------------------------ which servers may be drawn
 
-    def _pool(self, request: Request, last_resort: bool) -> list[int]:
+    def _note(self, server: Server) -> None:
+        """After any change of a server: whether it is special, and whether the automaton may draw it at all.
+
+        What hangs on time alone is looked at again when it is due; what hangs on the state of all (a share of
+        the calls out, what is silent) concerns servers with calls out only, and those are special.
+        """
+        i, now, out = server.at, self._now, len(server.out)
+        if i < 0:
+            return
+        cold = self._is_cold(server)
+        if cold != server.cold:
+            server.cold = cold
+            self._cold_arms += 1 if cold else -1
+            if cold:
+                self._look_again(server, self._cold_until(server))
+        special = bool(out) or server.ejected or server.trial or server.due > now
+        if special != server.special:
+            server.special = special
+            if special:
+                self._special[i] = server
+            else:
+                del self._special[i]
+        closed = server.ejected or server.rest_until > now or out + 1 > server.ceiling
+        self.automaton.set_open(i, not (closed or (server.trial and out > 0)))
+
+    def _look_again(self, server: Server, when: float) -> None:
+        server.due = max(server.due, when)
+        self._seq += 1
+        heapq.heappush(self._due, (when, self._seq, server))
+
+    def _count(self, server: Server, times: int) -> None:
+        """Take a server out of what is summed up over all arms (-1) before it changes, and in again (1)."""
+        if server.at < 0:
+            return
+        self._turned += times * (server.turned_away > 0)
+        self._ejected += times * server.ejected
+        self._fails += 0.0 if server.ejected else times * server.fail
+        for c, health in enumerate(server.classes):
+            self._class_fails[c] += times * health.fail
+            self._class_usual[c] += times * health.usual
+
+    def _note_all(self) -> None:
+        """A new list: all that is kept of the arms together is counted anew."""
+        self._special, due, self._due = {}, self._due, []
+        self._cold_arms = self._turned = self._ejected = 0
+        self._fails = 0.0
+        self._class_fails = [0.0] * len(self.settings.classes)
+        self._class_usual = [0.0] * len(self.settings.classes)
+        for i, server in enumerate(self._arms):
+            server.at, server.special, server.cold = i, False, False
+            self._count(server, 1)
+            self._note(server)
+        for when, _, server in due:
+            if server.at >= 0:
+                self._look_again(server, when)
+        self._scans = float(len(self._arms))
+
+    def _pick(self, request: Request, last_resort: bool) -> int | None:
+        """The index drawn for a request; None if no server may take it now."""
+        look = _Look(request, self.automaton.mean() or 0.0, len(self._attempts), self._patience.late())
+        r = len(self._arms)
+        if r > SCAN_MOST:
+            self._scans = min(self._scans + SCAN_EACH, 2.0 * r)
+            panic = not last_resort and self._panics(look)
+            if self._home_few and not last_resort:
+                pool = self._pool(look, panic, self._home_few)
+                if len(pool) >= LOCAL_LEAST:
+                    return self.automaton.draw(pool, self._rng.random())
+            if not panic and (found := self._try(look, last_resort)) is not None:
+                return found
+            if self._scans < r:
+                return None
+            self._scans -= r
+        pool = self._near(self._pool(look, last_resort, range(r)))
+        return self.automaton.draw(pool, self._rng.random()) if pool else None
+
+    def _try(self, look: _Look, last_resort: bool) -> int | None:
+        """Draw from all that are open until one is fit, so many times: the same as a draw from the fit."""
+        keep = not self._home_few and self._near_most - len(self._special) >= LOCAL_LEAST
+        keep = keep and self._near_most < len(self._arms)
+        for _ in range(TRIES):
+            i = self.automaton.draw_open(self._rng.random())
+            if i is None:
+                return None
+            server = self._arms[i]
+            if (keep and not self._home[i]) or server.entry.server in look.tried:
+                continue
+            if not server.special and not look.risky:
+                return i
+            if self._standing(look, server) >= (SICK if last_resort else FIT):
+                return i
+        return None
+
+    def _panics(self, look: _Look) -> bool:
+        """Whether too many are unhealthy for health to be a guide; counted as seldom as it costs little."""
+        c = look.request.class_index
+        panic, since = self._panic[c]
+        if since * SCAN_EACH < len(self._special):
+            self._panic[c] = panic, since + 1
+            return panic
+        late, now = look.late, self._now
+        unhealthy = sum(
+            1
+            for s in self._special.values()
+            if s.ejected or not s.classes[c].open(now) or self._silent(s, late)
+        )
+        self._panic[c] = unhealthy > PANIC * len(self._arms), 0
+        return self._panic[c][0]
+
+    def _pool(self, look: _Look, last_resort: bool, among: Sequence[int]) -> list[int]:
         """Indices that the draw is conditioned on: allowed by the rules, then healthy and within budget."""
         allowed: list[int] = []
         fit: list[int] = []
         unhealthy = 0
-        tried = {a.entry.server for a in request.attempts}
-        p, averages = self.automaton.p, self.automaton.average
-        mean = self.automaton.mean() or 0.0
-        total = len(self._attempts)
-        late = self._patience.late()
-        flow: float | None = None  # counted once, and only if a server is cold
-        for i, server in enumerate(self._arms):
-            if not self._permitted(request, server):
+        arms, risky = self._arms, look.risky
+        for i in among:
+            server = arms[i]
+            if not (server.special or risky):
+                allowed.append(i)
+                fit.append(i)
                 continue
-            if self._is_cold(server):
-                flow = self._warm_flow() if flow is None else flow
-                if not self._cold_allows(server, request.units, flow):
-                    continue
-            if not server.classes[request.class_index].open(self._now):
-                unhealthy += (
-                    1  # also as a last resort: it would most likely fail, where a refusal is harmless
-                )
-                continue
-            allowed.append(i)
-            if server.ejected or self._silent(server, late):
+            standing = self._standing(look, server)
+            if standing >= SICK:
+                allowed.append(i)
+                if standing == FIT:
+                    fit.append(i)
+            if standing in (CLASS_SICK, SICK):
                 unhealthy += 1
-                continue
-            out = len(server.out)
-            if server.trial and (out or (self._can_repeat and not request.repeatable())):
-                continue  # a returning server gets one call at a time, and none that could be lost for good
-            if server.rest_until > self._now or out + 1 > server.ceiling:
-                continue
-            slow = averages[i]
-            if slow and out * (1.0 - self._calm / slow) > self._most_waiting:
-                # By Little's law this part of its calls waits there; a server crowded for long turns slow
-                # for long, and its own average tells so before the mean of all does.
-                continue
-            share = p[i] * mean / slow if slow and slow > mean else p[i]
-            if out > BUDGET_PLUS + BUDGET_TIMES * share * total:
-                continue
-            fit.append(i)
-        if last_resort or unhealthy > PANIC * len(self._arms):
+        if last_resort or unhealthy > PANIC * len(arms):
             # Something that all servers share is wrong, or it is now or never: health is no guide.
             fit = allowed
-        fresh = [i for i in fit if self._arms[i].entry.server not in tried]
-        if fresh or (request.out and not last_resort):
+        fresh = [i for i in fit if arms[i].entry.server not in look.tried] if look.tried else fit
+        if fresh or (look.request.out and not last_resort):
             fit = fresh
-        return self._near(fit)
+        return fit
+
+    def _standing(self, look: _Look, server: Server) -> int:
+        """How a server stands to a request: forbidden, or sick, busy or fit for it."""
+        request, now = look.request, self._now
+        if not self._permitted(request, server):
+            return FORBIDDEN
+        if server.cold and self._is_cold(server):
+            if look.flow is None:
+                look.flow = self._warm_flow()
+            if not self._cold_allows(server, request.units, look.flow):
+                return FORBIDDEN
+        if not server.classes[request.class_index].open(now):
+            return CLASS_SICK  # also as a last resort: it would most likely fail, where a refusal is harmless
+        if server.ejected or self._silent(server, look.late):
+            return SICK
+        out = len(server.out)
+        if server.trial and (out or (self._can_repeat and not request.repeatable())):
+            return BUSY  # a returning server gets one call at a time, and none that could be lost for good
+        if server.rest_until > now or out + 1 > server.ceiling:
+            return BUSY
+        slow = self.automaton.average[server.at]
+        if slow and out * (1.0 - self._calm / slow) > self._most_waiting:
+            # By Little's law this part of its calls waits there; a server crowded for long turns slow
+            # for long, and its own average tells so before the mean of all does.
+            return BUSY
+        if out:
+            share = self.automaton.share(server.at)
+            share = share * look.mean / slow if slow and slow > look.mean else share
+            if out > BUDGET_PLUS + BUDGET_TIMES * share * look.total:
+                return BUSY
+        return FIT
 
     def _near(self, fit: list[int]) -> list[int]:
         """The home's servers while two of them are fit, else, where crossing has a price, the zone's."""
@@ -756,6 +740,9 @@
             for ring in rings.values():
                 chosen.update(name for _, name in sorted(ring)[: math.ceil(len(ring) / homes)])
         self._home = [s.entry.server in chosen for s in self._arms]
+        few = [i for i, own in enumerate(self._home) if own]
+        self._near_most = len(few)
+        self._home_few = few if len(few) <= SCAN_MOST else []
 
     def _silent(self, server: Server, late: float) -> bool:
         """Attempts overdue against what peers answer in count before they end."""
@@ -787,12 +774,15 @@
         return kind.group is RepeatGroup.ALL or server.entry.cell == first.cell
 
     def _is_cold(self, server: Server) -> bool:
+        return self._now < self._cold_until(server)
+
+    def _cold_until(self, server: Server) -> float:
         start = server.entry.started_ms
-        return start > 0 and self._now - start < self.settings.cold_ms
+        return start + self.settings.cold_ms if start > 0 else -math.inf
 
     def _warm_flow(self) -> float:
         """Units a millisecond that this node sends a warm server; over all servers while none is warm."""
-        warm = sum(1 for s in self._arms if not self._is_cold(s))
+        warm = len(self._arms) - self._cold_arms
         return self._sent.per_ms(self._now) / (warm or len(self._arms))
 
     def _cold_allows(self, server: Server, units: float, flow: float) -> bool:
@@ -831,6 +821,7 @@
         server.out[request.id, number] = now
         self._attempts[request.id, number] = (server, attempt)
         server.tokens -= request.units
+        self._note(server)
         self._sent.add(request.units, now)
         self._watch(request)
         if self._doubts(request, server):
@@ -924,7 +915,10 @@
         del server.out[key]
         server.classes[attempt.class_index].out -= 1
         request = self._requests.get(event.request)
+        self._count(server, -1)
         self._judge(server, attempt, event, request)
+        self._count(server, 1)
+        self._note(server)
         if request is None:
             return
         request.out -= 1
@@ -945,7 +939,7 @@
             and len(request.attempts) < self.settings.max_attempts
             and left > max(mean, 2 * self.settings.tick_ms)
             and (not costs or self._retry_tokens >= 1.0)
-            and any(self._permitted(request, s) for s in self._arms)
+            and self._may_go_on(request)
         ):
             if costs:
                 self._retry_tokens -= 1.0
@@ -953,6 +947,12 @@
         else:
             self._finish(request)
 
+    def _may_go_on(self, request: Request) -> bool:
+        """Whether the rules leave any server for a further attempt; all are alike where no group parts them."""
+        kind = request.kind
+        parted = kind.effect is Effect.KEYED and kind.group is not RepeatGroup.ALL
+        return any(self._permitted(request, s) for s in (self._arms if parted else self._arms[:1]))
+
     def _judge(self, server: Server, attempt: Attempt, event: AttemptEnded, request: Request | None) -> None:
         """What an outcome says of its server, its class and the load."""
         outcome, elapsed, name = event.outcome, event.elapsed_ms, server.entry.server
@@ -984,12 +984,12 @@
             # a handshake each, and the ejection of full servers pushed over the rest.
             server.ceiling = max(1.0, CEILING_DOWN * min(server.ceiling, len(server.out)))
             pause = FULL_PAUSE * 2.0 ** min(server.turned_away, FULL_DOUBLINGS)
-            server.rest_until = self._now + pause * self._aim
+            self._rest_until(server, self._now + pause * self._aim)
             server.turned_away += 1
             self.automaton.charge(name, elapsed)
             # It is the fleet that is strained only when more turn calls away than could be left out. Servers
             # that drain in turn were taken for strain: the front cut its limit and refused half for 3 s.
-            if sum(1 for s in self._arms if s.turned_away) > EJECT_MOST * len(self._arms):
+            if self._turned + 1 > EJECT_MOST * len(self._arms):
                 self._feel(1.0)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.SPOILT):
             if outcome in (Outcome.ERROR, Outcome.SPOILT):
@@ -1018,9 +1018,18 @@
         Where crossing zones has a price those are the own zone's: resting by the whole fleet's number sent
         a zone's calls across.
         """
-        peers = [self._arms[i] for i in self._near(list(range(len(self._arms))))]
-        if _can_spare(sum(1 for s in peers if s.ejected or s.rest_until > self._now), len(peers)):
-            server.rest_until = self._now + span
+        near = self._near_most if self._near_most >= LOCAL_LEAST else len(self._arms)
+        out = sum(
+            1
+            for i, s in self._special.items()
+            if (s.ejected or s.rest_until > self._now) and (near == len(self._arms) or self._home[i])
+        )
+        if _can_spare(out, near):
+            self._rest_until(server, self._now + span)
+
+    def _rest_until(self, server: Server, until: float) -> None:
+        server.rest_until = until
+        self._look_again(server, until)
 
     def _class_failed(self, server: Server, class_index: int) -> bool:
         """An error in one class, at a server that serves others: it is held against that class alone.
@@ -1039,14 +1048,17 @@
         health.fail += FAIL_STEP * (1.0 - health.fail)
         if not any(h.served and h.fail < FAIL_STEP for h in server.classes if h is not health):
             return False
-        peers = [s.classes[class_index] for s in self._arms if s is not server]
-        open_peers = [h for h in peers if h.open(self._now)]
-        norm = sum(h.fail for h in open_peers) / len(peers) if peers else 1.0
-        usual = sum(h.usual for h in open_peers) / len(open_peers) if open_peers else 0.0
+        peers = len(self._arms) - (server.at >= 0)  # it is not in the sums itself
+        others = (s.classes[class_index] for s in self._special.values() if s is not server)
+        shut = [h for h in others if not h.open(self._now)]
+        open_peers = peers - len(shut)
+        norm = (self._class_fails[class_index] - sum(h.fail for h in shut)) / peers if peers else 1.0
+        usual = self._class_usual[class_index] - sum(h.usual for h in shut)
+        usual = max(0.0, usual / open_peers) if open_peers else 0.0
         if health.trial or (
             health.fail >= max(FAIL_EJECT, _beyond_chance(usual))
             and health.fail >= FAIL_VS_PEERS * norm
-            and _can_spare(len(peers) - len(open_peers), len(self._arms), BAR_MOST)
+            and _can_spare(len(shut), len(self._arms), BAR_MOST)
         ):
             kind = self.settings.classes[class_index]
             # A trial of what may not be repeated is a request lost if it fails: those are far between.
@@ -1059,6 +1071,7 @@
             self._actions.append(Log(f"{text}, fail {health.fail:.2f} against {norm:.2f} of its peers"))
             health.barred_until, health.trial, health.fail = self._now + pause, True, FAIL_STEP
             health.strikes += 1
+            self._look_again(server, health.barred_until)
         return True
 
     def _succeeded(self, server: Server, health: ClassHealth) -> None:
@@ -1080,13 +1093,12 @@
         server.fail += step * (1.0 - server.fail)
         if server.ejected:
             return
-        peers = [s for s in self._arms if s is not server]
-        norm = sum(s.fail for s in peers if not s.ejected) / len(peers) if peers else 1.0
-        out = sum(1 for s in self._arms if s.ejected)
+        peers = len(self._arms) - (server.at >= 0)  # it is not in the sums itself
+        norm = self._fails / peers if peers else 1.0
         if server.trial or (
             server.fail >= FAIL_EJECT
             and server.fail >= FAIL_VS_PEERS * norm
-            and _can_spare(out, len(self._arms))
+            and _can_spare(self._ejected, len(self._arms))
         ):
             server.ejected, server.trial = True, False
             text = f"server {server.entry.server.hex()} ejected: {outcome.value}"
@@ -1109,7 +1121,10 @@
             self._admit_trial(server)
 
     def _admit_trial(self, server: Server) -> None:
+        self._count(server, -1)
         server.ejected, server.trial, server.fail = False, True, FAIL_STEP
+        self._count(server, 1)
+        self._note(server)
 
     def _on_probe(self, event: ProbeEnded) -> None:
         server = self._servers.get(event.server)
--- /dev/null
+++ b/leadrudder/weights.py
@@ -0,0 +1,123 @@
+"""Weighted draws over many items in O(log n), where a change of all weights at once costs O(1).
+
+A Fenwick tree of numbers that are kept apart from one scale and one offset: an item's weight is
+scale * value + offset.  Items can be closed: those are drawn by nobody and keep their value.  A plain data
+structure; what the weights mean is its owner's.  Source: P. M. Fenwick, "A new data structure for cumulative
+frequency tables", Software: Practice and Experience 24(3), 1994.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+
+class Weights:
+    """Weights of n items, by index; all draws take x in [0, mass of the open).
+
+    steps counts the tree's nodes that were touched, so that a test can tell the cost without a clock.
+    """
+
+    __slots__ = ("_count", "_sum", "_top", "closed", "offset", "open", "scale", "steps", "total", "values")
+
+    def __init__(self, values: Sequence[float]) -> None:
+        self.values = list(values)
+        self.closed = [False] * len(self.values)
+        self.scale, self.offset = 1.0, 0.0
+        self.steps = 0
+        self.rebuild()
+
+    def rebuild(self) -> None:
+        """Take scale and offset into the values, and sum all anew: what rounding has summed up is gone."""
+        scale, offset = self.scale, self.offset
+        if (scale, offset) != (1.0, 0.0):
+            self.values = [scale * value + offset for value in self.values]
+            self.scale, self.offset = 1.0, 0.0
+        n = len(self.values)
+        self.total = sum(self.values)
+        self.open = n - sum(self.closed)
+        self._top = 1 << max(0, n.bit_length() - 1)
+        self._sum = [0.0, *(0.0 if c else v for v, c in zip(self.values, self.closed, strict=True))]
+        self._count = [0, *(int(not closed) for closed in self.closed)]
+        for i in range(1, n + 1):
+            parent = i + (i & -i)
+            if parent <= n:
+                self._sum[parent] += self._sum[i]
+                self._count[parent] += self._count[i]
+        self.steps += n
+
+    def weight(self, i: int) -> float:
+        return self.scale * self.values[i] + self.offset
+
+    def mass(self) -> float:
+        """The sum of all weights, closed ones among them."""
+        return self.scale * self.total + self.offset * len(self.values)
+
+    def open_mass(self) -> float:
+        """The sum of the weights that can be drawn."""
+        value, count, i = 0.0, 0, len(self.values)
+        while i > 0:
+            value += self._sum[i]
+            count += self._count[i]
+            i &= i - 1
+        return self.scale * value + self.offset * count
+
+    def all_times(self, factor: float, plus: float = 0.0) -> None:
+        """Every weight becomes factor * weight + plus."""
+        self.scale *= factor
+        self.offset = self.offset * factor + plus
+
+    def add(self, i: int, weight: float) -> None:
+        """Add to one item's weight."""
+        value = weight / self.scale
+        self.values[i] += value
+        self.total += value
+        if not self.closed[i]:
+            self._change(i, value, 0)
+
+    def close(self, i: int) -> None:
+        """Leave an item out of all draws."""
+        if not self.closed[i]:
+            self.closed[i] = True
+            self.open -= 1
+            self._change(i, -self.values[i], -1)
+
+    def reopen(self, i: int) -> None:
+        if self.closed[i]:
+            self.closed[i] = False
+            self.open += 1
+            self._change(i, self.values[i], 1)
+
+    def _change(self, i: int, value: float, count: int) -> None:
+        sums, counts, n = self._sum, self._count, len(self.values)
+        i += 1
+        while i <= n:
+            sums[i] += value
+            counts[i] += count
+            self.steps += 1
+            i += i & -i
+
+    def draw(self, x: float) -> int:
+        """The open item in whose stretch x lies, the items side by side in order; IndexError if none is
+        open."""
+        if not self.open:
+            raise IndexError("no item is open")
+        at, step, n = 0, self._top, len(self.values)
+        scale, offset, sums, counts = self.scale, self.offset, self._sum, self._count
+        while step:
+            reach = at + step
+            if reach <= n:
+                part = scale * sums[reach] + offset * counts[reach]
+                if x >= part:
+                    x -= part
+                    at = reach
+            self.steps += 1
+            step >>= 1
+        # Rounding may lead past the last open item, or to a closed one whose sum is not quite nothing.
+        return at if at < n and not self.closed[at] else self._open_before(at)
+
+    def _open_before(self, at: int) -> int:
+        """The last open item before an index, or the first open one after it."""
+        for i in range(min(at, len(self.values)) - 1, -1, -1):
+            if not self.closed[i]:
+                return i
+        return self.closed.index(False)
--- a/tests/test_automaton.py
+++ b/tests/test_automaton.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from leadrudder.policy.decide import ALPHA, CHARGE_CAP, FLOOR_SHARE, NEWCOMER_SHARE, THETA_SHARE, Automaton
+from leadrudder.policy.automaton import ALPHA, CHARGE_CAP, FLOOR_SHARE, NEWCOMER_SHARE, THETA_SHARE, Automaton
 
 NAMES = [bytes([i]) for i in range(40)]
 
