--- /dev/null
+++ b/leadrudder/listed.py
@@ -0,0 +1,89 @@
+"""The servers that discovery lists, and those that still hold calls of ours: bookkeeping of server lists.
+
+Readable by index; a server that has gone gives its index to the last one, so that a change costs no more than
+what changed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from leadrudder.interface import ListKind, Readiness, ServerEntry, ServerId, ServerList
+from leadrudder.records import ClassHealth, Server
+
+
+@dataclass(slots=True)
+class Change:
+    """What a list has changed. restarted: known by that name and started anew, among the others or joined."""
+
+    joined: list[Server] = field(default_factory=list)
+    left: list[Server] = field(default_factory=list)
+    stayed: list[Server] = field(default_factory=list)  # listed before and now, and named
+    fresh: list[Server] = field(default_factory=list)  # new processes
+
+
+class Listed:
+    """All servers that are listed or hold calls."""
+
+    def __init__(self, classes: int) -> None:
+        self._classes = classes
+        self.servers: dict[ServerId, Server] = {}
+        self.arms: list[Server] = []  # those listed, each at its index
+
+    def take(self, event: ServerList, now: float) -> Change:
+        """Follow a list or changes of one; an entry that is there twice counts as the last says.
+
+        Who joins and leaves is told, and is put in and taken out of the arms by the caller.
+        """
+        change = Change()
+        entries = {entry.server: entry for entry in event.entries}
+        for entry in entries.values():
+            self._take(entry, change, now)
+        if event.kind is not ListKind.CHANGES:
+            gone = [s for name, s in self.servers.items() if name not in entries]
+            for server in gone:
+                self._unlist(server, change)
+        return change
+
+    def _take(self, entry: ServerEntry, change: Change, now: float) -> None:
+        server = self.servers.get(entry.server)
+        if server is None:
+            server = self.servers[entry.server] = Server(
+                entry, [ClassHealth() for _ in range(self._classes)], listed=False
+            )
+            change.fresh.append(server)
+        elif entry.started_ms > server.entry.started_ms:
+            change.fresh.append(server)
+            server.heard = now
+        server.entry = entry
+        if entry.readiness is not Readiness.READY:
+            self._unlist(server, change)
+        elif server.listed:
+            change.stayed.append(server)
+        else:
+            server.listed = True
+            change.joined.append(server)
+
+    def _unlist(self, server: Server, change: Change) -> None:
+        if server.listed:
+            server.listed = False
+            change.left.append(server)
+        if not server.out:
+            # What has gone and holds no call is forgotten: over a long day new ids come without end.
+            del self.servers[server.entry.server]
+
+    def forget(self, server: Server) -> None:
+        """Its last call has ended."""
+        if not server.listed and not server.out and self.servers.get(server.entry.server) is server:
+            del self.servers[server.entry.server]
+
+    def join(self, server: Server) -> None:
+        server.at = len(self.arms)
+        self.arms.append(server)
+
+    def leave(self, server: Server) -> None:
+        last = self.arms.pop()
+        if last is not server:
+            self.arms[server.at] = last
+            last.at = server.at
+        server.at = -1
--- a/leadrudder/policy/placement.py
+++ b/leadrudder/policy/placement.py
@@ -34,6 +34,7 @@
 SCAN_EACH = 64
 
 LOCAL_LEAST = 2  # fewer servers than this in the zone are no fleet to keep to
+WEIGHT_LEAST, WEIGHT_MOST = 1e-3, 1e3  # of a listed capacity; one that is no number counts as the least
 HOME = 6  # servers that a node keeps to, up to twice as many: of so few half may fail and leave a choice
 HOME_COVER = 3  # nodes that must share each server at the least, for their walks to cancel out
 
@@ -98,7 +99,9 @@
         # What has gone and holds no call is forgotten: over a long day new ids come without end.
         self.servers = {name: s for name, s in self.servers.items() if s.listed or s.out}
         weights = {
-            name: max(s.entry.capacity_hint, 1e-3) if self._settings.capacity_hints else 1.0
+            name: min(max(WEIGHT_LEAST, s.entry.capacity_hint), WEIGHT_MOST)
+            if self._settings.capacity_hints
+            else 1.0
             for name, s in self.servers.items()
             if s.listed
         }
--- a/leadrudder/weights.py
+++ b/leadrudder/weights.py
@@ -96,6 +96,46 @@
             self.steps += 1
             i += i & -i
 
+    def append(self, weight: float) -> None:
+        """One more item, open and the last."""
+        value = (weight - self.offset) / self.scale
+        self.values.append(value)
+        self.closed.append(False)
+        self.total += value
+        self.open += 1
+        n = len(self.values)
+        below, stop, count = n - 1, n - (n & -n), 1
+        while below > stop:  # the nodes that the new one covers
+            value += self._sum[below]
+            count += self._count[below]
+            self.steps += 1
+            below &= below - 1
+        self._sum.append(value)
+        self._count.append(count)
+        self._top = 1 << (n.bit_length() - 1)
+
+    def pop(self) -> tuple[float, bool]:
+        """Take out the last item: its value and whether it was closed.  No other node covers it."""
+        value, closed = self.values.pop(), self.closed.pop()
+        self.total -= value
+        self.open -= not closed
+        self._sum.pop()
+        self._count.pop()
+        self._top = 1 << max(0, len(self.values).bit_length() - 1)
+        return value, closed
+
+    def remove(self, i: int) -> None:
+        """Take out an item; the last one moves to its index."""
+        value, closed = self.pop()
+        if i == len(self.values):
+            return
+        self.reopen(i)
+        self._change(i, value - self.values[i], 0)
+        self.total += value - self.values[i]
+        self.values[i] = value
+        if closed:
+            self.close(i)
+
     def draw(self, x: float) -> int:
         """The open item in whose stretch x lies, the items side by side in order; IndexError if none is
         open."""
@@ -153,6 +193,33 @@
         """Every weight: O(n)."""
         return [self.groups[group].weight(at) for group, at in self._place]
 
+    def append(self, weight: float, group: int) -> None:
+        """One more item, open and the last, in a group: one that is there, or the next."""
+        if group == len(self.groups):
+            self.groups.append(Weights([]))
+            self._members.append([])
+        self._place.append((group, len(self._members[group])))
+        self._members[group].append(len(self._place) - 1)
+        self.groups[group].append(weight)
+
+    def remove(self, i: int) -> None:
+        """Take out an item; the last one moves to its index."""
+        group, at = self._place[i]
+        self.groups[group].remove(at)
+        moved = self._members[group].pop()
+        if at < len(self._members[group]):
+            self._members[group][at] = moved
+            self._place[moved] = group, at
+        last = self._place.pop()
+        if i < len(self._place):
+            self._place[i] = last
+            self._members[last[0]][last[1]] = i
+
+    def all_times(self, factor: float, plus: float = 0.0) -> None:
+        """Every weight becomes factor * weight + plus."""
+        for weights in self.groups:
+            weights.all_times(factor, plus)
+
     def group_of(self, i: int) -> int:
         return self._place[i][0]
 
--- /dev/null
+++ b/tests/plain_automaton.py
@@ -0,0 +1,99 @@
+"""The automaton written plainly, as the tests' reference: every payoff rewrites every share."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from leadrudder.interface import ServerId
+from leadrudder.policy.automaton import CHARGE_CAP, FLOOR_SHARE, KINDS_MOST, NEWCOMER_SHARE, Automaton
+
+
+class PlainAutomaton:
+    """Shares in a list, averages in a list; the steps are those of the automaton that it stands beside."""
+
+    def __init__(self, beside: Automaton) -> None:
+        self._beside = beside
+        self.servers: list[ServerId] = []
+        self.p: list[float] = []
+        self.average: list[float | None] = []
+        self.kinds: list[int] = []
+
+    def mean(self) -> float | None:
+        known = [a for a in self.average if a is not None]
+        return sum(known) / len(known) if known else None
+
+    def order(self) -> list[int]:
+        """Indices as the draw meets them: kind by kind, in the order in which kinds are first met."""
+        return sorted(
+            range(len(self.p)), key=lambda i: (list(dict.fromkeys(self.kinds)).index(self.kinds[i]), i)
+        )
+
+    def draw(self, among: Sequence[int], u: float) -> int:
+        left = u * sum(self.p[i] for i in among)
+        for i in among:
+            left -= self.p[i]
+            if left < 0.0:
+                return i
+        return among[-1]
+
+    def learn(self, server: ServerId, latency: float) -> bool:
+        if server not in self.servers:
+            return False
+        i = self.servers.index(server)
+        threshold = self._move(i, latency)
+        if latency >= threshold:
+            return False
+        theta, r = self._beside.theta, len(self.p)
+        p_min = FLOOR_SHARE / r
+        mine = self.p[i]
+        self.p = [x + theta * (p_min - x) for x in self.p]
+        self.p[i] = mine + theta * (1.0 - (r - 1) * p_min - mine)
+        theta, kind = self._beside.theta_kind, self.kinds[i]
+        if theta:
+            same = sum(x for x, k in zip(self.p, self.kinds, strict=True) if k == kind)
+            lost = theta * (1.0 - same - p_min * (r - self.kinds.count(kind)))
+            self.p = [
+                x * (1.0 + lost / same) if k == kind else x + theta * (p_min - x)
+                for x, k in zip(self.p, self.kinds, strict=True)
+            ]
+        return True
+
+    def charge(self, server: ServerId, latency: float) -> None:
+        mean = self.mean()
+        if server in self.servers and mean is not None:
+            self._move(self.servers.index(server), min(max(latency, mean), CHARGE_CAP * mean))
+
+    def _move(self, i: int, latency: float) -> float:
+        mean = self.mean()
+        if mean is None:
+            self.average = [latency] * len(self.average)
+            return latency
+        old = self.average[i]
+        start = mean if old is None else old
+        self.average[i] = start + self._beside.alpha * (latency - start)
+        return self.mean() or latency
+
+    def resize(self, weights: Mapping[ServerId, float], kinds: Mapping[ServerId, int]) -> None:
+        stay = [s for s in self.servers if s in weights]
+        ratios = [self.p[self.servers.index(s)] for s in stay]
+        averages = [self.average[self.servers.index(s)] for s in stay]
+        new = [s for s in weights if s not in self.servers]
+        unit = NEWCOMER_SHARE * sum(ratios) / sum(weights[s] for s in stay) if stay else 1.0
+        self.servers = stay + new
+        self.average = averages + [None] * len(new)
+        self.p = floored(ratios + [unit * weights[s] for s in new])
+        met = list(dict.fromkeys(kinds[s] for s in self.servers))
+        self.kinds = [min(met.index(kinds[s]), KINDS_MOST - 1) for s in self.servers]
+
+
+def floored(ratios: Sequence[float]) -> list[float]:
+    """Those under the floor are raised to it, the others scaled, until none is under it."""
+    p_min = FLOOR_SHARE / len(ratios) if ratios else 0.0
+    low: set[int] = set()
+    while True:
+        total = sum(x for i, x in enumerate(ratios) if i not in low)
+        scale = (1.0 - len(low) * p_min) / total if total > 0 else 0.0
+        under = {i for i, x in enumerate(ratios) if i not in low and x * scale < p_min}
+        if not under:
+            return [p_min if i in low else x * scale for i, x in enumerate(ratios)]
+        low |= under
--- /dev/null
+++ b/tests/test_large_fleets.py
@@ -0,0 +1,412 @@
+"""Large fleets: the automaton against a plain one, what is kept by change against a full scan, hard cases."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from leadrudder import Balancer
+from leadrudder.interface import (
+    Action,
+    Arrival,
+    AttemptEnded,
+    Effect,
+    ListKind,
+    Outcome,
+    Readiness,
+    RepeatGroup,
+    RequestClass,
+    Send,
+    ServerEntry,
+    ServerList,
+    Settings,
+)
+from leadrudder.policy.automaton import FLOOR_SHARE, KINDS_MOST, Automaton
+from leadrudder.policy.placement import SCAN_EACH, SCAN_MOST, TRIES, Look, Placement
+from tests.checker import Surrounding
+from tests.plain_automaton import PlainAutomaton
+
+NAMES = [i.to_bytes(3, "big") for i in range(200)]
+SAFE = RequestClass("r", 1000, 3000)
+KEYED = RequestClass("k", 1000, 3000, effect=Effect.KEYED, group=RepeatGroup.ZONE, window_ms=5000.0)
+UNSAFE = RequestClass("w", 1000, 3000, worth=3.0, effect=Effect.UNSAFE)
+
+COURSES = st.lists(
+    st.one_of(
+        st.tuples(st.just("learn"), st.integers(0, 199), st.floats(1.0, 1000.0)),
+        st.tuples(st.just("charge"), st.integers(0, 199), st.floats(0.0, 1000.0)),
+        st.tuples(st.just("draw"), st.just(0), st.floats(0.0, 0.9999)),
+        st.tuples(st.just("resize"), st.integers(1, 200), st.floats(0.1, 8.0)),
+    ),
+    max_size=80,
+)
+
+
+# ---------------------------------------------------------------- the automaton
+
+
+@settings(max_examples=150)
+@given(COURSES, st.integers(1, 4), st.sampled_from([1, 30, 400]))
+def test_the_same_course_gives_the_plain_automatons_shares_and_draws(
+    course: list[tuple[str, int, float]], kinds: int, nodes: int
+) -> None:
+    tree = Automaton(nodes)
+    plain = PlainAutomaton(tree)
+    rng = random.Random(kinds)
+
+    def resize(n: int, x: float) -> None:
+        names = rng.sample(NAMES, n)
+        weights = {name: x if name[-1] % 2 else 1.0 for name in names}
+        of = {name: name[-1] % kinds for name in names}
+        tree.resize(weights, of)
+        plain.resize(weights, of)
+
+    resize(20, 1.0)
+    for what, n, x in course:
+        if what == "resize":
+            resize(n, x)
+        elif what == "draw":
+            drawn = tree.shares.draw_open(x)
+            assert drawn == plain.draw(plain.order(), x)
+        elif what == "learn":
+            assert tree.learn(NAMES[n], x) == plain.learn(NAMES[n], x)
+        else:
+            tree.charge(NAMES[n], x)
+            plain.charge(NAMES[n], x)
+    assert tree.servers == plain.servers
+    assert max(abs(a - b) for a, b in zip(tree.p, plain.p, strict=True)) < 1e-9
+    assert tree.mean() == pytest.approx(plain.mean())
+
+
+def test_a_long_course_near_the_floor_keeps_the_sum_and_the_floor() -> None:
+    """Few servers take nearly all payoffs, so that the others' shares are a scale and the floor alone.
+
+    300,000 payoffs here; python -m bench.decision_cost --drift plays as many as are asked for.
+    """
+    a = Automaton(nodes=50)
+    a.resize(dict.fromkeys(NAMES, 1.0), {name: name[-1] % 2 for name in NAMES})
+    rng = random.Random(3)
+    for name in NAMES:
+        a.learn(name, 100.0)
+    payoffs = sum(
+        a.learn(NAMES[rng.randrange(6) if rng.random() < 0.99 else rng.randrange(200)], 1.0 + rng.random())
+        for _ in range(300_000)
+    )
+    assert payoffs > 30_000
+    assert abs(sum(a.p) - 1.0) < 1e-9
+    assert min(a.p) >= FLOOR_SHARE / 200 * (1 - 1e-9)
+
+
+def test_a_list_of_very_many_kinds_costs_no_more_than_some() -> None:
+    a = Automaton(nodes=30)
+    a.resize(dict.fromkeys(NAMES, 1.0), {name: i for i, name in enumerate(NAMES)})
+    assert len(a.shares.groups) == KINDS_MOST
+    a.learn(NAMES[0], 100.0)
+    assert a.learn(NAMES[199], 10.0)
+    assert sum(a.p) == pytest.approx(1.0) and min(a.p) >= FLOOR_SHARE / 200 * (1 - 1e-9)
+
+
+# ---------------------------------------------------------------- what is kept by change
+
+
+def _scan(fleet: Placement, balancer: Balancer) -> None:
+    """All that is kept by change is what a look at every server gives."""
+    now, health = balancer._turn.now, balancer._health
+    arms = fleet.arms
+    assert [s.at for s in arms] == list(range(len(arms)))
+    for i, s in enumerate(arms):
+        cold = s.entry.started_ms > 0 and now - s.entry.started_ms < balancer.settings.cold_ms
+        barred = any(h.barred_until > now or (h.trial and h.out) for h in s.classes)
+        plain = not (s.out or s.ejected or s.trial or s.rest_until > now or cold or barred)
+        assert plain or s.special, s
+        assert (i in fleet.special) == s.special and s.cold == cold
+        closed = s.ejected or s.rest_until > now or len(s.out) + 1 > s.ceiling or bool(s.trial and s.out)
+        group, at = fleet.automaton.shares._place[i]
+        assert fleet.automaton.shares.groups[group].closed[at] == closed, s
+    assert fleet._cold_arms == sum(s.cold for s in arms)
+    assert health._ejected == sum(s.ejected for s in arms)
+    assert health._turned == sum(s.turned_away > 0 for s in arms)
+    assert health._fails == pytest.approx(sum(s.fail for s in arms if not s.ejected), abs=1e-9)
+    for c in range(len(balancer.settings.classes)):
+        assert health._class_fails[c] == pytest.approx(sum(s.classes[c].fail for s in arms), abs=1e-9)
+        assert health._class_usual[c] == pytest.approx(sum(s.classes[c].usual for s in arms), abs=1e-9)
+
+
+EVENTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("arrive"), st.integers(0, 2), st.integers(1, 6)),
+        st.tuples(
+            st.just("end"), st.integers(0, 50), st.sampled_from(sorted(Outcome, key=lambda o: o.value))
+        ),
+        st.tuples(st.just("step"), st.integers(1, 120), st.just(0)),
+        st.tuples(st.just("list"), st.integers(0, 2**30), st.sampled_from([ListKind.FULL, ListKind.CHANGES])),
+        st.tuples(st.just("restart"), st.integers(0, 79), st.just(0)),
+        st.tuples(st.just("drain"), st.integers(0, 79), st.just(0)),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=120)
+@given(EVENTS, st.sampled_from([6, 20, 80]), st.sampled_from([1, 40]))
+def test_what_is_kept_by_change_is_what_a_full_scan_gives(
+    events: list[tuple[str, int, object]], servers: int, nodes: int
+) -> None:
+    """After every event, whatever happens to servers, classes, lists and time."""
+    play = Surrounding(
+        Settings(
+            classes=(SAFE, KEYED, UNSAFE), cold_ms=2000.0, balancers=nodes, max_attempts=3, may_probe=False
+        ),
+        seed=servers,
+    )
+    rng = random.Random(servers)
+    entries = {i: ServerEntry(NAMES[i], zone=i % 3, kind=i % 2) for i in range(servers)}
+    play.list_of(list(entries.values()))
+    fleet = play.balancer._fleet
+    for what, n, more in events:
+        if what == "arrive":
+            assert isinstance(more, int)
+            for _ in range(more):
+                play.arrive(n)
+        elif what == "end":
+            assert isinstance(more, Outcome)
+            live = [(r, k) for r in play.owed for k in play.live(r)]
+            for request, number in live[n % 7 : n % 7 + 4]:
+                if more is not Outcome.MOOT:
+                    play.end(request, number, more)
+        elif what == "step":
+            for _ in range(n):
+                play.step(15.0)
+        elif what == "list":
+            assert isinstance(more, ListKind)
+            play.list_of([e for e in entries.values() if rng.random() < 0.7], more)
+        elif n in entries:
+            if what == "drain":
+                entries[n] = replace(entries[n], readiness=Readiness.DRAINING)
+            else:
+                entries[n] = replace(entries[n], readiness=Readiness.READY, started_ms=play.now)
+            play.list_of([entries[n]], ListKind.CHANGES)
+        _scan(fleet, play.balancer)
+
+
+# ---------------------------------------------------------------- the draw
+
+
+def _course(servers: int, **more: object) -> Balancer:
+    values: dict[str, object] = {"classes": (SAFE,), **more}
+    balancer = Balancer(Settings(**values), seed=1)  # type: ignore[arg-type]
+    rows = tuple(ServerEntry(i.to_bytes(3, "big"), kind=i % 2, zone=i % 3) for i in range(servers))
+    balancer.handle(ServerList(ListKind.FULL, rows), 1.0)
+    return balancer
+
+
+def _sends(balancer: Balancer, request: int, now: float) -> list[bytes]:
+    return [a.server for a in balancer.handle(Arrival(request, 0, 3000.0), now) if isinstance(a, Send)]
+
+
+def _look(balancer: Balancer, request: int) -> Look:
+    mean = balancer.automaton.mean() or 0.0
+    calm, late = balancer._admission.calm, balancer._patience.late()
+    return Look(balancer._requests[request], mean, calm, len(balancer._attempts), late)
+
+
+def test_draws_that_are_tried_follow_the_vector_conditioned_on_the_fit() -> None:
+    """Chi-squared against the pool that a full look gives, at a fixed seed."""
+    balancer = _course(60)
+    fleet = balancer._fleet
+    now = 10.0
+    for request in range(40):  # calls out make servers special, some of them busy
+        now += 1.0
+        _sends(balancer, request, now)
+    for request in range(10):  # and some rest, turn away or are full
+        server, _ = balancer._attempts[request, 0]
+        balancer.handle(AttemptEnded(request, 0, server.entry.server, Outcome.FULL, 3.0, False), now)
+    balancer.handle(Arrival(999, 0, 3000.0), now)
+    look = _look(balancer, 0) if 0 in balancer._requests else _look(balancer, 39)
+    look.risky, look.tried = False, set()
+    pool = fleet._pool(look, False, range(60))
+    assert 5 < len(pool) < 60
+    counts: Counter[int] = Counter()
+    draws = 0
+    for _ in range(30_000):
+        found = fleet._try(look, False)
+        if found is not None:
+            counts[found.at] += 1
+            draws += 1
+    assert set(counts) == set(pool) and draws > 29_000
+    p = fleet.automaton.p
+    mass = sum(p[i] for i in pool)
+    chi = sum((counts[i] - draws * p[i] / mass) ** 2 / (draws * p[i] / mass) for i in pool)
+    df = len(pool) - 1
+    assert chi < df + 4.0 * (2 * df) ** 0.5, (chi, df)
+
+
+def test_a_decision_looks_at_a_few_servers_of_a_large_fleet(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Counted: looks at a server a request, at 40 and at 4,000 servers with as many calls out."""
+    looks: dict[int, int] = {}
+    original = Placement._standing
+    for servers in (40, 4000):
+        balancer = _course(servers)
+        counted = 0
+
+        def standing(self: Placement, look: Look, server: object) -> int:
+            nonlocal counted
+            counted += 1
+            return original(self, look, server)  # type: ignore[arg-type]
+
+        monkeypatch.setattr(Placement, "_standing", standing)
+        now, out = 1.0, []
+        for request in range(2000):
+            now += 1.0
+            sent = _sends(balancer, request, now)
+            out += [(request, s) for s in sent]
+            if len(out) > 20:
+                done, server = out.pop(0)
+                balancer.handle(AttemptEnded(done, 0, server, Outcome.OK, 20.0, True), now)
+        looks[servers] = counted
+    assert looks[4000] <= looks[40] <= TRIES * 2000
+
+
+def test_with_all_servers_at_their_ceilings_but_one_that_one_is_drawn_at_once() -> None:
+    balancer = _course(2000)
+    fleet = balancer._fleet
+    now = 5.0
+    for request, server in enumerate(fleet.arms[:-1]):
+        server.ceiling = 1.0
+        server.out[request, 0] = now
+        fleet.note(server)
+    before = fleet._scans
+    sent = _sends(balancer, 10**6, now + 1)
+    assert sent == [fleet.arms[-1].entry.server]
+    assert fleet._scans >= before - 1, "no whole look was needed"
+
+
+def test_whole_looks_are_rationed_by_what_they_cost() -> None:
+    """Nothing is fit: each request must not look through the fleet, nor any be lost."""
+    balancer = _course(2000)
+    fleet = balancer._fleet
+    for server in fleet.arms:
+        server.rest_until = 1e9
+        fleet.look_again(server, 1e9)
+        fleet.note(server)
+    whole = 0
+    original = fleet._pool
+
+    def pool(*args: object) -> list[int]:
+        nonlocal whole
+        whole += 1
+        return original(*args)  # type: ignore[arg-type]
+
+    fleet._pool = pool  # type: ignore[method-assign,assignment]
+    for request in range(400):
+        assert _sends(balancer, request, 2.0 + 0.001 * request) == []
+    assert whole <= 1 + 400 * 3 * SCAN_EACH / 2000 + 1
+    assert len(balancer._requests) == 400, "all still wait for a place"
+
+
+# ---------------------------------------------------------------- hard cases
+
+
+def test_a_third_goes_silent_at_once_and_returns_cold() -> None:
+    """Calls soon keep off the silent third, and it is not pushed over when it is back."""
+    balancer = _course(900, cold_ms=3000.0, may_cancel=True)
+    rng = random.Random(2)
+    dead = {i.to_bytes(3, "big") for i in range(0, 900, 3)}
+    out: list[tuple[float, int, int, bytes, Outcome]] = []
+    sends: list[tuple[float, bool]] = []
+    now = 1.0
+
+    def carry(actions: list[Action]) -> None:
+        for a in actions:
+            if isinstance(a, Send):
+                hit = a.server in dead
+                sends.append((now, hit))
+                silent = hit and 2000 <= now < 6000
+                end = now + (2500 if silent else 10 + 10 * rng.random())
+                number = len(balancer._requests[a.request].attempts) - 1
+                heapq.heappush(
+                    out, (end, a.request, number, a.server, Outcome.TIMEOUT if silent else Outcome.OK)
+                )
+
+    for request in range(4500):
+        now += 2.0
+        while out and out[0][0] <= now:
+            _, done, number, server, how = heapq.heappop(out)
+            carry(balancer.handle(AttemptEnded(done, number, server, how, 20.0, how is Outcome.OK), now))
+        if request == 3000:
+            rows = [ServerEntry(i.to_bytes(3, "big"), kind=i % 2, zone=i % 3) for i in range(900)]
+            rows = [replace(row, started_ms=now) if row.server in dead else row for row in rows]
+            balancer.handle(ServerList(ListKind.FULL, tuple(rows)), now)
+        carry(balancer.handle(Arrival(request, 0, 3000.0), now))
+        if request % 250 == 0:
+            _scan(balancer._fleet, balancer)
+
+    def part(start: float, end: float) -> float:
+        hits = [hit for at, hit in sends if start <= at < end]
+        return sum(hits) / len(hits)
+
+    assert 0.28 < part(1000, 2000) < 0.4
+    assert part(5000, 6000) < 0.5 * part(1000, 2000)
+    assert part(6002, 6300) < 0.25, "cold: a part of what the warm get"
+
+
+def test_every_server_changes_its_id_and_lists_alternate_between_halves() -> None:
+    balancer = _course(400)
+    now = 1.0
+    for turn in range(12):
+        now += 100.0
+        rows = tuple(
+            ServerEntry((1000 * (turn // 4) + i).to_bytes(3, "big")) for i in range(turn % 2, 400, 2)
+        )
+        balancer.handle(ServerList(ListKind.FULL, rows), now)
+        assert _sends(balancer, turn, now + 1)[0] in {r.server for r in rows}
+        _scan(balancer._fleet, balancer)
+    assert len(balancer._fleet.servers) <= 200 + 12, "what is gone and holds no call is forgotten"
+
+
+def test_one_node_of_a_thousand_meets_its_home_again() -> None:
+    """With a view of a call a server and hour over the whole fleet it would learn nothing."""
+    balancer = _course(10_000 // 10, balancers=1000, ordinal=7)
+    sent: Counter[bytes] = Counter()
+    now, out = 1.0, []
+    for request in range(600):
+        now += 50.0
+        for server in _sends(balancer, request, now):
+            sent[server] += 1
+            out.append((request, server))
+        while len(out) > 2:
+            done, server = out.pop(0)
+            balancer.handle(
+                AttemptEnded(done, 0, server, Outcome.OK, 40.0 if server[-1] % 2 else 20.0, True), now
+            )
+    assert len(sent) <= 2 * 6 + 2 <= SCAN_MOST
+    slow = sum(n for server, n in sent.items() if server[-1] % 2)
+    assert slow < 0.4 * sum(sent.values())
+
+
+# ---------------------------------------------------------------- bad input
+
+
+def test_an_entry_twice_counts_once_and_the_last_holds() -> None:
+    balancer = Balancer(Settings(classes=(SAFE,)), seed=1)
+    rows = (ServerEntry(b"a"), ServerEntry(b"b"), ServerEntry(b"a", Readiness.DRAINING))
+    balancer.handle(ServerList(ListKind.FULL, rows), 1.0)
+    assert balancer.automaton.servers == [b"b"]
+    assert _sends(balancer, 1, 2.0) == [b"b"]
+
+
+@pytest.mark.parametrize("hint", [0.0, -5.0, 1e300, float("inf"), float("nan")])
+def test_absurd_weights_leave_every_server_its_floor(hint: float) -> None:
+    settings = Settings(classes=(SAFE,), capacity_hints=True)
+    balancer = Balancer(settings, seed=1)
+    rows = tuple(ServerEntry(NAMES[i], capacity_hint=hint if i == 0 else 1.0) for i in range(50))
+    balancer.handle(ServerList(ListKind.FULL, rows), 1.0)
+    p = balancer.automaton.p
+    assert sum(p) == pytest.approx(1.0) and min(p) >= FLOOR_SHARE / 50 * (1 - 1e-9)
+    assert len(_sends(balancer, 1, 2.0)) == 1
