--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -1,19 +1,26 @@
-"""What a decision costs by the size of the fleet: python -m bench.decision_cost [--sizes 10,100,...].
+"""What a decision costs by the size of the fleet: python -m bench.decision_cost [--against REV].
 
 One class, one node that keeps to all servers, a steady load of calls of which CALLS are out at any time; each
 step is an arrival with its attempt and the outcome of an older one. Counted is the process's CPU time. The
 last line gives microseconds an arrival with its outcome for each size, the ratio of 10,000 servers to 10,
-bytes a server, and the milliseconds that a full list and a change of one entry take.
+bytes a server, and the milliseconds that a full list and a change of one entry take; with --against the
+same of another revision, in turn with this tree, up to 1,000 servers (before_…). --drift N plays so many
+payoffs near the floor and tells how far the sum and the least share have drifted.
 """
 
 from __future__ import annotations
 
 import argparse
+import os
 import random
+import statistics
+import subprocess
 import sys
+import tempfile
 import time
 import tracemalloc
 from collections import deque
+from pathlib import Path
 
 from leadrudder import Balancer
 from leadrudder.interface import (
@@ -32,6 +39,7 @@
 SIZES = (10, 100, 1_000, 10_000, 100_000)
 CALLS = 8  # out at any time: the limit of a node that starts allows 6 a server
 STEPS = 20_000
+ROUNDS = 5
 KIND = RequestClass("haku", 1000, 3000)
 
 
@@ -102,14 +110,68 @@
     return 1e3 * whole, 1e3 * (time.process_time() - began)
 
 
+def _before(revision: str, sizes: list[int], steps: int) -> dict[int, tuple[float, float]]:
+    """Medians of this tree and of a revision, measured by this file in turn, each in an interpreter of its
+    own."""
+    from bench.revision import ROOT, unpack
+
+    with tempfile.TemporaryDirectory() as folder:
+        trees = [ROOT, unpack(revision, Path(folder))[0]]
+        found: dict[int, list[list[float]]] = {size: [[], []] for size in sizes}
+        for turn in range(ROUNDS):
+            for size in sizes:
+                for tree, costs in zip(trees, found[size], strict=True):
+                    command = [
+                        sys.executable,
+                        __file__,
+                        "--sizes",
+                        str(size),
+                        "--steps",
+                        str(steps),
+                        "--plain",
+                    ]
+                    environment = {**os.environ, "PYTHONPATH": str(tree)}
+                    done = subprocess.run(
+                        command, env=environment, cwd=tree, capture_output=True, text=True, check=True
+                    )
+                    costs.append(float(done.stdout))
+            print(f"round {turn + 1} of {ROUNDS} against {revision}", file=sys.stderr)
+    return {size: (statistics.median(now), statistics.median(then)) for size, (now, then) in found.items()}
+
+
+def drift(payoffs: int) -> tuple[float, float]:
+    """How far the sum is from 1, and the least share from the floor (0 or above is right), relative to it."""
+    from leadrudder.policy.automaton import FLOOR_SHARE, Automaton
+
+    automaton, rng = Automaton(nodes=50), random.Random(3)
+    names = [i.to_bytes(2, "big") for i in range(200)]
+    automaton.resize(dict.fromkeys(names, 1.0), {name: name[-1] % 2 for name in names})
+    for name in names:
+        automaton.learn(name, 100.0)
+    done = 0
+    while done < payoffs:
+        few = rng.random() < 0.99
+        done += automaton.learn(names[rng.randrange(6 if few else 200)], 1.0 + rng.random())
+    p = automaton.p
+    floor = FLOOR_SHARE / len(p)
+    return abs(sum(p) - 1.0), min(p) / floor - 1.0
+
+
 def main() -> int:
     """Exit code 0 when all sizes were measured."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else None)
     parser.add_argument("--sizes", default=",".join(map(str, SIZES)), help="numbers of servers")
     parser.add_argument("--steps", type=int, default=STEPS, help="arrivals at each size")
+    parser.add_argument("--against", help="a revision of this repository")
+    parser.add_argument("--drift", type=int, default=0, help="payoffs near the floor")
+    parser.add_argument("--plain", action="store_true", help="one size, and its figure alone")
     chosen = parser.parse_args()
+    sizes = [int(size) for size in chosen.sizes.split(",")]
+    if chosen.plain:
+        print(cost_us(sizes[0], chosen.steps))
+        return 0
     costs: dict[int, float] = {}
-    for size in map(int, chosen.sizes.split(",")):
+    for size in sizes:
         costs[size] = cost_us(size, chosen.steps)
         print(f"{size} servers: {costs[size]:.1f} us an arrival with its outcome", file=sys.stderr)
     words = [f"us_{size}={cost:.1f}" for size, cost in costs.items()]
@@ -122,6 +184,14 @@
         f"list_ms={whole:.1f}",
         f"change_ms={change:.1f}",
     ]
+    if chosen.against:
+        small = [size for size in sizes if size <= 1000]
+        for size, (now, then) in _before(chosen.against, small, min(chosen.steps, 3000)).items():
+            words += [f"now_{size}={now:.1f}", f"before_{size}={then:.1f}"]
+        words.append(f"against={chosen.against}")
+    if chosen.drift:
+        total, least = drift(chosen.drift)
+        words += [f"drift_payoffs={chosen.drift}", f"drift_sum={total:.1e}", f"drift_least={least:.1e}"]
     print(" ".join(words))
     return 0
 
--- a/leadrudder/estimators.py
+++ b/leadrudder/estimators.py
@@ -8,6 +8,8 @@
 DEVIATIONS = 4.0  # patience = mean + this many mean deviations, as in TCP's time-out
 LATE_LEAST = 2.0  # and at least this many means, for work that always takes the same time
 
+SUM_ANEW = 100  # moves for each value after which a column is summed anew
+
 
 @dataclass(slots=True)
 class Patience:
@@ -72,3 +74,43 @@
         inside = self.tokens >= 1.0
         self.tokens -= inside
         return inside
+
+
+class Column:
+    """A value for each of many, None where it is not known, and the mean of the known ones in O(1)."""
+
+    __slots__ = ("_known", "_moves", "_sum", "values")
+
+    def __init__(self, values: list[float | None]) -> None:
+        self.values = values
+        self._sum_anew()
+
+    def mean(self) -> float | None:
+        return self._sum / self._known if self._known else None
+
+    def set(self, i: int, value: float) -> None:
+        old = self.values[i]
+        self.values[i] = value
+        self._sum += value - (old or 0.0)
+        self._known += old is None
+        self._moves += 1
+        if self._moves > SUM_ANEW * len(self.values):
+            self._sum_anew()
+
+    def append(self, value: float | None) -> None:
+        self.values.append(value)
+        self._sum += value or 0.0
+        self._known += value is not None
+
+    def remove(self, i: int) -> None:
+        """Take one out; the last moves to its index."""
+        old, last = self.values[i], self.values.pop()
+        if i < len(self.values):
+            self.values[i] = last
+        self._sum -= old or 0.0
+        self._known -= old is not None
+
+    def _sum_anew(self) -> None:
+        """What rounding has summed up is gone."""
+        known = [value for value in self.values if value is not None]
+        self._sum, self._known, self._moves = math.fsum(known), len(known), 0
--- a/leadrudder/listed.py
+++ b/leadrudder/listed.py
@@ -14,12 +14,13 @@
 
 @dataclass(slots=True)
 class Change:
-    """What a list has changed. restarted: known by that name and started anew, among the others or joined."""
+    """What a list has changed."""
 
     joined: list[Server] = field(default_factory=list)
     left: list[Server] = field(default_factory=list)
-    stayed: list[Server] = field(default_factory=list)  # listed before and now, and named
-    fresh: list[Server] = field(default_factory=list)  # new processes
+    changed: list[Server] = field(default_factory=list)  # listed before and now, with another entry
+    fresh: list[Server] = field(default_factory=list)  # new processes, among those or joined
+    moved: bool = False  # one that is listed before and now has another kind, zone or weight
 
 
 class Listed:
@@ -40,7 +41,7 @@
         for entry in entries.values():
             self._take(entry, change, now)
         if event.kind is not ListKind.CHANGES:
-            gone = [s for name, s in self.servers.items() if name not in entries]
+            gone = [server for name, server in self.servers.items() if name not in entries]
             for server in gone:
                 self._unlist(server, change)
         return change
@@ -55,12 +56,14 @@
         elif entry.started_ms > server.entry.started_ms:
             change.fresh.append(server)
             server.heard = now
-        server.entry = entry
+        old, server.entry = server.entry, entry
+        if server.listed and old != entry:
+            change.moved |= (old.kind, old.zone) != (entry.kind, entry.zone)
+            change.moved |= old.capacity_hint != entry.capacity_hint
+            change.changed.append(server)
         if entry.readiness is not Readiness.READY:
             self._unlist(server, change)
-        elif server.listed:
-            change.stayed.append(server)
-        else:
+        elif not server.listed:
             server.listed = True
             change.joined.append(server)
 
@@ -77,6 +80,14 @@
         if not server.listed and not server.out and self.servers.get(server.entry.server) is server:
             del self.servers[server.entry.server]
 
+    def replace(self, joined: list[Server]) -> None:
+        """Take out all that are listed no more, the others keeping their order, and put these behind them."""
+        for server in self.arms:
+            server.at = -1
+        self.arms[:] = [server for server in self.arms if server.listed] + joined
+        for i, server in enumerate(self.arms):
+            server.at = i
+
     def join(self, server: Server) -> None:
         server.at = len(self.arms)
         self.arms.append(server)
--- a/leadrudder/node/discovery.py
+++ b/leadrudder/node/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, cast
@@ -63,6 +64,7 @@
                 entries.append(entry)
                 host, _, port = item["hostPort"].rpartition(":")
                 addresses[entry.server] = (host, int(port))
+            _tell_oddities(entries, len(addresses))
             return Listing(int(raw["generation"]), bool(raw["reset"]), tuple(entries), addresses)
         except KeyError as error:
             raise ListError(f"{error} is missing or unknown") from None
@@ -81,6 +83,16 @@
         )
 
 
+def _tell_oddities(entries: list[ServerEntry], different: int) -> None:
+    """One line for what a list says twice or cannot mean; the module takes the last, and bounds weights."""
+    again = len(entries) - different
+    if again:
+        log.warning("discovery: %d entries of a list repeat others; the last counts", again)
+    odd = sum(1 for entry in entries if not 0.0 < entry.capacity_hint < math.inf)
+    if odd:
+        log.warning("discovery: %d entries have a weight that is no positive number; the least counts", odd)
+
+
 def _number(names: tuple[str, ...], name: Any) -> int:
     """A name that the settings do not list still tells its servers from the others.
 
--- a/leadrudder/policy/automaton.py
+++ b/leadrudder/policy/automaton.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 
+from leadrudder.estimators import Column
 from leadrudder.interface import ServerId
-from leadrudder.weights import GroupedWeights, Weights
+from leadrudder.weights import GroupedWeights, Weights, floored
 
 # The automaton.  A copy sees few calls over many servers, so both steps are far above the paper's.
 ALPHA = 0.15  # an average spans about seven of its server's calls
@@ -27,7 +27,6 @@
 NEWCOMER_SHARE = 0.5  # a newcomer's part of the mean share until it has shown what it can do
 CHARGE_CAP = 3.0  # a failure enters an average at no more than this many means: silence lifts no threshold
 SCALE_LEAST = 1e-4  # of a map kept apart from the shares: below this rounding is summed up and taken out
-SUM_ANEW = 100  # moves for each server after which the averages are summed anew
 KINDS_MOST = 32  # listed kinds that are told from each other
 
 
@@ -40,14 +39,14 @@
 
     def __init__(self, nodes: int = 1) -> None:
         self.servers: list[ServerId] = []
-        self.average: list[float | None] = []  # None: not called yet, counts as the mean of the others
+        self.averages = Column([])  # None: not called yet, counts as the mean of the others
         self.alpha = min(max(ALPHA, ALPHA_NODES * nodes), ALPHA_MOST)
         self.theta = 0.0  # the steps are set with the servers
         self.theta_kind = 0.0  # 0 where all are listed as of one kind
         self._nodes = nodes
         self.shares = GroupedWeights([], [])  # the vector, by kinds
+        self._kinds: dict[int, int] = {}  # listed kinds, and the group of each
         self._index: dict[ServerId, int] = {}
-        self._sum, self._known, self._moves = 0.0, 0, 0  # of the averages; since they were last summed
 
     @property
     def p(self) -> list[float]:
@@ -56,11 +55,7 @@
 
     def mean(self) -> float | None:
         """The payoff threshold: the mean of all averages, None before any answer."""
-        return self._sum / self._known if self._known else None
-
-    def draw(self, eligible: Sequence[int], u: float) -> int:
-        """The index drawn by u in [0, 1) from the vector conditioned on the eligible."""
-        return self.shares.draw(eligible, u)
+        return self.averages.mean()
 
     def learn(self, server: ServerId, latency: float) -> bool:
         """An answered call: move its server's average, and the vector if the call paid off."""
@@ -72,13 +67,12 @@
             return False
         r, theta = len(self.servers), self.theta
         p_min = FLOOR_SHARE / r
-        for kind in self.shares.groups:
-            kind.all_times(1.0 - theta, theta * p_min)
+        self.shares.all_times(1.0 - theta, theta * p_min)
         self.shares.add(i, theta * (1.0 - (r - 1) * p_min - p_min))
         if self.theta_kind:
             self._favour_kind(self.shares.groups[self.shares.group_of(i)], p_min)
         if self.shares.least_scale() < SCALE_LEAST:
-            self.shares.replace(_floored(self.p))  # before a scale is too small to be exact
+            self._renew()
         return True
 
     def _favour_kind(self, kind: Weights, p_min: float) -> None:
@@ -106,63 +100,69 @@
         """Move the chosen server's average only; returns the threshold for this call."""
         mean = self.mean()
         if mean is None:  # the first answer of all is every server's starting value
-            self.average = [latency] * len(self.average)
-            self._sum_averages()
+            self.averages = Column([latency] * len(self.servers))
             return latency
-        old = self.average[i]
+        old = self.averages.values[i]
         start = mean if old is None else old
-        new = self.average[i] = start + self.alpha * (latency - start)
-        self._sum += new - (0.0 if old is None else old)
-        self._known += old is None
-        self._moves += 1
-        if self._moves > SUM_ANEW * len(self.average):
-            self._sum_averages()
+        self.averages.set(i, start + self.alpha * (latency - start))
         return self.mean() or latency
 
-    def _sum_averages(self) -> None:
-        known = [a for a in self.average if a is not None]
-        self._sum, self._known, self._moves = math.fsum(known), len(known), 0
+    def _renew(self) -> None:
+        """Before a scale is too small to be exact: sum all anew, to 1 in all and at the floor or above."""
+        self.shares.replace(floored(self.p, FLOOR_SHARE / len(self.servers)))
 
     def resize(self, weights: Mapping[ServerId, float], kinds: Mapping[ServerId, int] | None = None) -> None:
         """Take in a new set of servers: the others keep their ratios, a newcomer gets a modest share."""
         stay = [s for s in self.servers if s in weights]
         ratios: list[float] = [self.shares.weight(self._index[s]) for s in stay]
-        averages: list[float | None] = [self.average[self._index[s]] for s in stay]
+        averages: list[float | None] = [self.averages.values[self._index[s]] for s in stay]
         new = [s for s in weights if s not in self._index]
         unit = NEWCOMER_SHARE * sum(ratios) / sum(weights[s] for s in stay) if stay else 1.0
         self.servers = stay + new
-        self.average = averages + [None] * len(new)
+        self.averages = Column(averages + [None] * len(new))
         self._index = {s: i for i, s in enumerate(self.servers)}
-        self._sum_averages()
         # A payoff looks at all kinds: a list that names very many has the last of them in one.
         named = [kinds[s] if kinds else 0 for s in self.servers]
-        order = {kind: min(at, KINDS_MOST - 1) for at, kind in enumerate(dict.fromkeys(named))}
-        self.shares = GroupedWeights(
-            _floored(ratios + [unit * weights[s] for s in new]), [order[kind] for kind in named]
-        )
+        self._kinds = {kind: min(at, KINDS_MOST - 1) for at, kind in enumerate(dict.fromkeys(named))}
+        groups = [self._kinds[kind] for kind in named]
+        ratios += [unit * weights[s] for s in new]
+        self.shares = GroupedWeights(floored(ratios, FLOOR_SHARE / max(1, len(ratios))), groups)
+        self._set_steps()
+
+    def join(self, server: ServerId, weight: float, kind: int) -> None:
+        """One more server, of this weight against the mean of the others: the others keep their ratios."""
+        r = len(self.servers) + 1
+        new = min(max(NEWCOMER_SHARE * weight / (r - 1 + NEWCOMER_SHARE * weight), FLOOR_SHARE / r), 1 / 2)
+        self._index[server] = r - 1
+        self.servers.append(server)
+        self.averages.append(None)
+        self.shares.all_times(1.0 - new)
+        group = self._kinds.setdefault(kind, min(len(self._kinds), KINDS_MOST - 1))
+        self.shares.append(new, group)
+        self._hold_floor(min(new, (1.0 - new) * FLOOR_SHARE / (r - 1)))
+
+    def leave(self, i: int) -> None:
+        """One server goes, and the last takes its index: the others keep their ratios."""
+        r, mine, last = len(self.servers) - 1, self.shares.weight(i), self.servers.pop()
+        self.shares.remove(i)
+        self.averages.remove(i)
+        del self._index[self.servers[i] if i < r else last]
+        if i < r:
+            self.servers[i], self._index[last] = last, i
+        if r:
+            self.shares.all_times(1.0 / (1.0 - mine))
+            self._hold_floor(FLOOR_SHARE / (r + 1) / (1.0 - mine))
+
+    def _hold_floor(self, least: float) -> None:
+        """The floor has moved with r, and no share is under the least."""
+        self.shares.draw_to_mean(FLOOR_SHARE / len(self.servers), least)
+        if self.shares.least_scale() < SCALE_LEAST:
+            self._renew()
+        self._set_steps()
+
+    def _set_steps(self) -> None:
+        of_nodes, different = THETA_NODES * self._nodes, len(self._kinds)
         if self.servers:
-            of_nodes = THETA_NODES * self._nodes
             self.theta = min(max(THETA_SHARE, of_nodes) / len(self.servers), THETA_MOST * self.alpha)
-            different = len(self.shares.groups)
-            step = min(of_nodes / different, THETA_KIND_MOST * self.alpha)
+            step = min(of_nodes / min(different, KINDS_MOST), THETA_KIND_MOST * self.alpha)
             self.theta_kind = step if different > 1 else 0.0
-
-
-def _floored(ratios: Sequence[float]) -> list[float]:
-    """Shares that sum to 1 and keep the ratios of all that stand above the floor."""
-    r = len(ratios)
-    if not r:
-        return []
-    p_min = FLOOR_SHARE / r
-    free, low = list(range(r)), 0
-    while True:
-        total = math.fsum(ratios[i] for i in free)
-        scale = (1.0 - low * p_min) / total if total > 0 else 0.0
-        above = [i for i in free if ratios[i] * scale >= p_min]
-        if len(above) == len(free):
-            break
-        free, low = above, r - len(above)
-    shares = [p_min] * r
-    for i in free:
-        shares[i] = ratios[i] * scale
-    return shares
--- a/leadrudder/policy/decide.py
+++ b/leadrudder/policy/decide.py
@@ -75,8 +75,6 @@
             api.AnswerStarted: self._on_started,
         }
 
-    # ------------------------------------------------------------ events
-
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
         """The actions that follow from one event."""
         turn = self._turn
@@ -122,7 +120,6 @@
         if failed and not self._calls.failed:
             self._turn.log(f"server list found again after {failed} failed calls")
         self._fleet.take(event)
-        self._health.recount()
         self._admission.listed(len(self._fleet.arms))
 
     def _on_arrival(self, event: api.Arrival) -> None:
@@ -291,6 +288,7 @@
         self._judge(server, attempt, event)
         self._health.count(server, 1)
         self._fleet.note(server)
+        self._fleet.list.forget(server)
         request = self._requests.get(event.request)
         if request is None:
             return
--- a/leadrudder/policy/health.py
+++ b/leadrudder/policy/health.py
@@ -33,30 +33,20 @@
     """The running record of failures over all listed servers."""
 
     def __init__(
-        self,
-        settings: Settings,
-        turn: Turn,
-        fleet: Placement,
-        return_at: Callable[[float, ServerId], None],
+        self, settings: Settings, turn: Turn, fleet: Placement, return_at: Callable[[float, ServerId], None]
     ) -> None:
         self._settings = settings
         self._turn = turn
         self._fleet = fleet
         self._return_at = return_at
-        self._recovery = max(
-            settings.cold_ms or 10_000.0, EJECT_AIMS * min(c.aim_ms for c in settings.classes)
-        )
-        self.recount()
-
-    def recount(self) -> None:
-        """A new list: what is summed up over all arms is summed anew."""
+        aim = min(c.aim_ms for c in settings.classes)
+        self._recovery = max(settings.cold_ms or 10_000.0, EJECT_AIMS * aim)
         self._turned = 0  # arms that turned a call away, and served none since
         self._ejected = 0
         self._fails = 0.0  # the sum of fail over all arms that are not ejected
-        self._class_fails = [0.0] * len(self._settings.classes)  # the same of each class, over all arms
-        self._class_usual = [0.0] * len(self._settings.classes)
-        for server in self._fleet.arms:
-            self.count(server, 1)
+        self._class_fails = [0.0] * len(settings.classes)  # the same of each class, over all arms
+        self._class_usual = [0.0] * len(settings.classes)
+        fleet.count = self.count
 
     def many_turn_away(self) -> bool:
         """Whether more turn calls away than could be left out; the one at hand is not in the sum."""
--- a/leadrudder/policy/placement.py
+++ b/leadrudder/policy/placement.py
@@ -8,15 +8,16 @@
 
 import heapq
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from leadrudder.estimators import Rate
-from leadrudder.interface import Effect, ListKind, Readiness, ServerEntry, ServerId, ServerList, Settings
+from leadrudder.interface import Effect, ServerId, ServerList, Settings
+from leadrudder.listed import Listed
 from leadrudder.policy.attempts import Request, permitted
 from leadrudder.policy.automaton import Automaton
-from leadrudder.records import ClassHealth, Server, Turn
-from leadrudder.rings import dealt
+from leadrudder.records import Server, Turn
+from leadrudder.rings import Rings
 
 EJECT_MOST = 0.34  # part of the fleet that may be out at once
 PANIC = 0.5  # with more than this part unhealthy, health is ignored: the cause is not the servers
@@ -32,14 +33,14 @@
 SCAN_MOST = 32
 TRIES = 16
 SCAN_EACH = 64
+PIECEWISE = 8  # a change of less than this part of the list is followed server by server
 
 LOCAL_LEAST = 2  # fewer servers than this in the zone are no fleet to keep to
 WEIGHT_LEAST, WEIGHT_MOST = 1e-3, 1e3  # of a listed capacity; one that is no number counts as the least
 HOME = 6  # servers that a node keeps to, up to twice as many: of so few half may fail and leave a choice
 HOME_COVER = 3  # nodes that must share each server at the least, for their walks to cancel out
 
-# How a server stands to a request.
-FORBIDDEN, CLASS_SICK, SICK, BUSY, FIT = range(5)
+FORBIDDEN, CLASS_SICK, SICK, BUSY, FIT = range(5)  # how a server stands to a request
 
 
 def can_spare(out: int, servers: int, most: float = EJECT_MOST) -> bool:
@@ -72,12 +73,16 @@
         self._settings = settings
         self._turn = turn
         self.automaton = Automaton(settings.balancers)
-        self.servers: dict[ServerId, Server] = {}
-        self.arms: list[Server] = []  # those listed, in the automaton's order
-        self._home: list[bool] = []  # in the same order: whether the node keeps to this server
-        self._home_few: list[int] = []  # their indices, where they are few
+        self.list = Listed(len(settings.classes))
+        self.servers, self.arms = self.list.servers, self.list.arms  # arms: those listed, by index
+        self._rings: Rings | None = None  # where the node keeps to a home
+        self._homes = 1
+        self._home: set[ServerId] | None = None  # None: it keeps to all that are near
+        self._home_few: list[Server] = []  # where they are few
         self._near_most = 0  # servers that the node keeps to
-        self.special: dict[int, Server] = {}  # of the arms; all others are warm, healthy and idle
+        self._zone = 0  # arms in its zone, or all where crossing has no price
+        self.special: dict[ServerId, Server] = {}  # of the arms; all others are warm, healthy and idle
+        self.count: Callable[[Server, int], None]  # tells health of an arm's leaving (-1) and coming (1)
         self._due: list[tuple[float, int, Server]] = []  # when to look again whether one still is special
         self._seq = 0
         self._cold_arms = 0
@@ -88,29 +93,59 @@
         self._most_waiting = max(1.0, WAITING_MOST / (1 if settings.stage else settings.balancers))
 
     def take(self, event: ServerList) -> None:
-        """A list, or changes of one: who is listed now, and what a restart makes void."""
-        if event.kind is not ListKind.CHANGES:
-            named = {entry.server for entry in event.entries}
-            for name, server in self.servers.items():
-                if name not in named:
-                    server.listed = False
-        for entry in event.entries:
-            self._take(entry)
-        # What has gone and holds no call is forgotten: over a long day new ids come without end.
-        self.servers = {name: s for name, s in self.servers.items() if s.listed or s.out}
-        weights = {
-            name: min(max(WEIGHT_LEAST, s.entry.capacity_hint), WEIGHT_MOST)
-            if self._settings.capacity_hints
-            else 1.0
-            for name, s in self.servers.items()
-            if s.listed
-        }
-        self.automaton.resize(weights, {name: self.servers[name].entry.kind for name in weights})
-        for server in self.arms:
-            server.at = -1
-        self.arms = [self.servers[name] for name in self.automaton.servers]
+        """A list, or changes of one; what costs more by the piece is done anew as a whole."""
+        change = self.list.take(event, self._turn.now)
+        for server in change.fresh:
+            self.count(server, -1)
+            server.start_anew(self._turn.now, self._turn.rng.random())
+            self.count(server, 1)
+        many = max(len(change.joined), len(change.left)) * PIECEWISE > len(self.arms)
+        whole = many or change.moved or len(self.arms) <= SCAN_MOST
+        for server in change.left:
+            self._leave(server, whole)
+        if whole:
+            self.list.replace(change.joined)
+            weights = {s.entry.server: self._weight(s) for s in self.arms}
+            self.automaton.resize(weights, {s.entry.server: s.entry.kind for s in self.arms})
+            self._rings, self._zone = None, sum(map(self._is_near, self.arms))
+        for server in change.joined:
+            self._join(server, whole)
+        for server in [*change.changed, *(self.special.values() if whole else ())]:
+            self.note(server)
         self._choose_home()
-        self._note_all()
+        self._scans = float(len(self.arms))
+
+    def _weight(self, server: Server) -> float:
+        hint = server.entry.capacity_hint if self._settings.capacity_hints else 1.0
+        return min(max(WEIGHT_LEAST, hint), WEIGHT_MOST)
+
+    def _is_near(self, server: Server) -> bool:
+        return not self._settings.cross_zone_price or server.entry.zone == self._settings.zone
+
+    def _leave(self, server: Server, whole: bool) -> None:
+        self.count(server, -1)
+        self.special.pop(server.entry.server, None)
+        self._cold_arms -= server.cold
+        server.special = server.cold = False
+        if not whole:
+            self.automaton.leave(server.at)
+            self.list.leave(server)
+            self._move(server, -1)
+
+    def _join(self, server: Server, whole: bool) -> None:
+        if not whole:
+            self.list.join(server)
+            self.automaton.join(server.entry.server, self._weight(server), server.entry.kind)
+            self._move(server, 1)
+        self.count(server, 1)
+        self.note(server)
+
+    def _move(self, server: Server, by: int) -> None:
+        """One more or less of those that homes are dealt from."""
+        if self._is_near(server):
+            self._zone += by
+            if self._rings is not None:
+                (self._rings.add if by > 0 else self._rings.remove)(server.entry.kind, server.entry.server)
 
     def begin(self) -> None:
         """At each event: look again at what is due."""
@@ -123,21 +158,6 @@
         self._flow.add(units, self._turn.now)
         self.note(server)
 
-    def _take(self, entry: ServerEntry) -> None:
-        server = self.servers.get(entry.server)
-        new = server is None
-        if server is None:
-            classes = [ClassHealth() for _ in self._settings.classes]
-            server = self.servers[entry.server] = Server(entry, classes)
-        elif entry.started_ms > server.entry.started_ms:
-            # A restarted process: what was held against the old one is void; it is cold again.
-            server.fail, server.strikes, server.ejected, server.trial = 0.0, 0, False, False
-            server.classes = [ClassHealth(out=health.out) for health in server.classes]
-            server.heard, new = self._turn.now, True
-        if new:
-            server.tokens, server.tokens_at = self._turn.rng.random(), self._turn.now
-        server.entry, server.listed = entry, entry.readiness is Readiness.READY
-
     def note(self, server: Server) -> None:
         """After any change of a server: whether it is special, and whether the automaton may draw it at all.
 
@@ -157,9 +177,9 @@
         if special != server.special:
             server.special = special
             if special:
-                self.special[i] = server
+                self.special[server.entry.server] = server
             else:
-                del self.special[i]
+                del self.special[server.entry.server]
         closed = server.ejected or server.rest_until > now or out + 1 > server.ceiling
         self.automaton.shares.set_open(i, not (closed or (server.trial and out > 0)))
 
@@ -168,18 +188,6 @@
         self._seq += 1
         heapq.heappush(self._due, (when, self._seq, server))
 
-    def _note_all(self) -> None:
-        """A new list: what is kept of the arms together is kept anew."""
-        self.special, due, self._due = {}, self._due, []
-        self._cold_arms = 0
-        for i, server in enumerate(self.arms):
-            server.at, server.special, server.cold = i, False, False
-            self.note(server)
-        for when, _, server in due:
-            if server.at >= 0:
-                self.look_again(server, when)
-        self._scans = float(len(self.arms))
-
     def pick(self, look: Look, last_resort: bool) -> Server | None:
         """The server drawn for a request; None if no server may take it now."""
         r = len(self.arms)
@@ -189,14 +197,14 @@
             if self._home_few and not last_resort:
                 pool = self._pool(look, panic, self._home_few)
                 if len(pool) >= LOCAL_LEAST:
-                    return self.arms[self.automaton.draw(pool, self._turn.rng.random())]
+                    return self.arms[self.automaton.shares.draw(pool, self._turn.rng.random())]
             if not panic and (found := self._try(look, last_resort)) is not None:
                 return found
             if self._scans < r:
                 return None
             self._scans -= r
-        pool = self._near(self._pool(look, last_resort, range(r)))
-        return self.arms[self.automaton.draw(pool, self._turn.rng.random())] if pool else None
+        pool = self._near(self._pool(look, last_resort, self.arms))
+        return self.arms[self.automaton.shares.draw(pool, self._turn.rng.random())] if pool else None
 
     def _try(self, look: Look, last_resort: bool) -> Server | None:
         """Draw from all that are open until one is fit, so many times: the same as a draw from the fit."""
@@ -206,7 +214,7 @@
             if i is None:
                 return None
             server = self.arms[i]
-            if (keep and not self._home[i]) or server.entry.server in look.tried:
+            if (keep and not self._kept(server)) or server.entry.server in look.tried:
                 continue
             if not server.special and not look.risky:
                 return server
@@ -228,19 +236,18 @@
         self._panic[c] = sum(sick) > PANIC * len(self.arms), 0
         return self._panic[c][0]
 
-    def _pool(self, look: Look, last_resort: bool, among: Sequence[int]) -> list[int]:
+    def _pool(self, look: Look, last_resort: bool, among: Sequence[Server]) -> list[int]:
         """Indices that the draw is conditioned on: allowed by the rules, then healthy and within budget."""
         allowed: list[int] = []
         fit: list[int] = []
         unhealthy = 0
         arms, risky = self.arms, look.risky
-        for i in among:
-            server = arms[i]
+        for server in among:
             standing = self._standing(look, server) if server.special or risky else FIT
             if standing >= SICK:
-                allowed.append(i)
+                allowed.append(server.at)
             if standing == FIT:
-                fit.append(i)
+                fit.append(server.at)
             elif standing in (CLASS_SICK, SICK):
                 unhealthy += 1
         if last_resort or unhealthy > PANIC * len(arms):
@@ -253,7 +260,7 @@
 
     def _standing(self, look: Look, server: Server) -> int:
         """How a server stands to a request: forbidden, or sick, busy or fit for it."""
-        request, now = look.request, self._turn.now
+        request, now, out = look.request, self._turn.now, len(server.out)
         if look.risky and not permitted(request, server.entry, self._settings, now):
             return FORBIDDEN
         if server.cold:
@@ -261,22 +268,21 @@
                 look.flow = self._warm_flow()
             if not self._cold_allows(server, request.units, look.flow):
                 return FORBIDDEN
-        if not server.classes[request.class_index].open(now):
+        health = server.classes[request.class_index]
+        if (health.trial or server.due > now) and not health.open(now):
             return CLASS_SICK  # also as a last resort: it would most likely fail, where a refusal is harmless
-        out = len(server.out)
         if server.ejected or (out and self.silent(server, look.late)):
             return SICK
         if server.trial and (out or (self._can_repeat and not request.repeatable())):
             return BUSY  # a returning server gets one call at a time, and none that could be lost for good
         if server.rest_until > now or out + 1 > server.ceiling:
             return BUSY
-        slow = self.automaton.average[server.at]
-        if slow and out * (1.0 - look.calm / slow) > self._most_waiting:
-            # By Little's law this part of its calls waits there; a server crowded for long turns slow
-            # for long, and its own average tells so before the mean of all does.
-            return BUSY
         if out:
-            share = self.automaton.shares.weight(server.at)
+            slow, share = self.automaton.averages.values[server.at], self.automaton.shares.weight(server.at)
+            if slow and out * (1.0 - look.calm / slow) > self._most_waiting:
+                # By Little's law this part of its calls waits there; a server crowded for long turns slow
+                # for long, and its own average tells so before the mean of all does.
+                return BUSY
             share = share * look.mean / slow if slow and slow > look.mean else share
             if out > BUDGET_PLUS + BUDGET_TIMES * share * look.total:
                 return BUSY
@@ -284,7 +290,7 @@
 
     def _near(self, fit: list[int]) -> list[int]:
         """The home's servers while two of them are fit, else, where crossing has a price, the zone's."""
-        home = [i for i in fit if self._home[i]]
+        home = [i for i in fit if self._kept(self.arms[i])]
         if len(home) >= LOCAL_LEAST:
             return home
         if not self._settings.cross_zone_price:
@@ -295,20 +301,25 @@
     def _choose_home(self) -> None:
         """Where many nodes call many servers, each keeps to a home of a few, of every kind in proportion.
 
-        Guards against views so sparse that no node meets a server again within the day's troubles, and
-        against connections that grow with nodes times servers.
+        Guards against views too sparse to learn from, and connections that grow with nodes times servers.
         """
-        settings = self._settings
-        near = [s for s in self.arms if not settings.cross_zone_price or s.entry.zone == settings.zone]
         # A power of two: their number, which all homes hang on, must not follow every change of the list.
-        homes = 1 << max(0, (len(near) // HOME).bit_length() - 1)
-        chosen = {s.entry.server for s in near}
-        if homes > 1 and settings.balancers * HOME >= HOME_COVER * len(self.arms):
-            chosen = dealt(((s.entry.kind, s.entry.server) for s in near), settings.ordinal, homes)
-        self._home = [s.entry.server in chosen for s in self.arms]
-        few = [i for i, own in enumerate(self._home) if own]
-        self._near_most = len(few)
-        self._home_few = few if len(few) <= SCAN_MOST else []
+        homes = 1 << max(0, (self._zone // HOME).bit_length() - 1)
+        self._home, self._home_few, self._near_most = None, [], self._zone
+        if homes == 1 or self._settings.balancers * HOME < HOME_COVER * len(self.arms):
+            self._rings = None
+            return
+        if self._rings is None or homes != self._homes:
+            self._rings, self._homes = Rings(self._settings.ordinal, homes), homes
+            for server in filter(self._is_near, self.arms):
+                self._rings.add(server.entry.kind, server.entry.server)
+        home = self._rings.dealt()
+        self._home, self._near_most = set(home), len(home)
+        self._home_few = [self.servers[name] for name in home] if len(home) <= SCAN_MOST else []
+
+    def _kept(self, server: Server) -> bool:
+        """Whether the node keeps to this server."""
+        return self._is_near(server) if self._home is None else server.entry.server in self._home
 
     def silent(self, server: Server, late: float) -> bool:
         """Attempts overdue against what peers answer in count before they end."""
@@ -349,7 +360,7 @@
         """
         near = self._near_most if self._near_most >= LOCAL_LEAST else len(self.arms)
         now, whole = self._turn.now, near == len(self.arms)
-        out = (s.ejected or s.rest_until > now for i, s in self.special.items() if whole or self._home[i])
+        out = (s.ejected or s.rest_until > now for s in self.special.values() if whole or self._kept(s))
         if can_spare(sum(out), near):
             self.rest_until(server, now + span)
 
--- a/leadrudder/records.py
+++ b/leadrudder/records.py
@@ -59,3 +59,9 @@
     due: float = -math.inf  # until then it rests, is cold or barred
     tokens: float = 0.0  # cold budget, in calls of mean work
     tokens_at: float = 0.0
+
+    def start_anew(self, now: float, token: float) -> None:
+        """A new process: what was held against an old one is void; it is cold again."""
+        self.fail, self.strikes, self.ejected, self.trial = 0.0, 0, False, False
+        self.classes = [ClassHealth(out=health.out) for health in self.classes]
+        self.tokens, self.tokens_at = token, now
--- a/leadrudder/weights.py
+++ b/leadrudder/weights.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 
@@ -246,7 +247,11 @@
 
     def draw(self, among: Sequence[int], u: float) -> int:
         """By u in [0, 1) from these items, by their weights, in O(of these)."""
-        weights = [self.weight(i) for i in among]
+        weights = []
+        for i in among:  # as weight does, without a call for each
+            group, at = self._place[i]
+            of = self.groups[group]
+            weights.append(of.scale * of.values[at] + of.offset)
         left = u * sum(weights)
         for i, weight in zip(among, weights, strict=True):
             left -= weight
@@ -267,3 +272,26 @@
             left -= mass
             last = group
         return None if last is None else self._members[last][self.groups[last].draw(masses[last])]
+
+    def draw_to_mean(self, floor: float, least: float) -> None:
+        """Move all weights, which sum to 1 and are at least `least`, to their mean as a floor asks for."""
+        mean = 1.0 / len(self)
+        part = max(0.0, floor - least) / (mean - min(least, floor))
+        self.all_times(1.0 - part, part * mean)
+
+
+def floored(ratios: Sequence[float], floor: float) -> list[float]:
+    """Shares that sum to 1 and keep the ratios of all that stand above the floor (less than the mean)."""
+    n = len(ratios)
+    free, low = list(range(n)), 0
+    while True:
+        total = math.fsum(ratios[i] for i in free)
+        scale = (1.0 - low * floor) / total if total > 0 else 0.0
+        above = [i for i in free if ratios[i] * scale >= floor]
+        if len(above) == len(free):
+            break
+        free, low = above, n - len(above)
+    shares = [floor] * n
+    for i in free:
+        shares[i] = ratios[i] * scale
+    return shares
--- a/tests/test_automaton.py
+++ b/tests/test_automaton.py
@@ -23,16 +23,16 @@
     a = fleet(1, 1, 1, 1)
     assert a.p == [0.25] * 4
     a.learn(NAMES[0], 100.0)  # the first answer is every average's start, and no payoff against itself
-    assert a.average == [100.0] * 4 and a.p == [0.25] * 4
+    assert a.averages.values == [100.0] * 4 and a.p == [0.25] * 4
     assert a.learn(NAMES[1], 60.0)
-    assert a.average[1] == pytest.approx(100 + ALPHA * (60 - 100))
-    assert a.average[0] == a.average[2] == a.average[3] == 100.0
+    assert a.averages.values[1] == pytest.approx(100 + ALPHA * (60 - 100))
+    assert a.averages.values[0] == a.averages.values[2] == a.averages.values[3] == 100.0
     theta, low = THETA_SHARE / 4, FLOOR_SHARE / 4
     assert a.p[1] == pytest.approx(0.25 + theta * (1 - 3 * low - 0.25))
     assert a.p[0] == pytest.approx(0.25 + theta * (low - 0.25))
     before = list(a.p)
     assert not a.learn(NAMES[2], 500.0)  # a miss moves the average and leaves the vector alone
-    assert a.p == before and a.average[2] == pytest.approx(100 + ALPHA * 400)
+    assert a.p == before and a.averages.values[2] == pytest.approx(100 + ALPHA * 400)
 
 
 @pytest.mark.parametrize("nodes", [1, 3, 40, 1000])
@@ -70,7 +70,7 @@
         a = Automaton(nodes=60)
         a.resize(dict.fromkeys(NAMES[:20], 1.0))
         for _ in range(120):
-            i = a.draw(range(20), rng.random())
+            i = a.shares.draw(range(20), rng.random())
             a.learn(NAMES[i], rng.expovariate(1.0) * (2.0 if i < 10 else 1.0))
         slow += sum(a.p[:10]) / 60
     assert slow < 0.43  # 0.49 with the step of a node that stands for itself
@@ -83,7 +83,7 @@
     a.charge(NAMES[1], 1.0)  # a fast error counts as the mean
     assert a.p == before and a.mean() == pytest.approx(100.0)
     a.charge(NAMES[1], 1e6)  # a long silence is capped
-    assert a.average[1] == pytest.approx(100 + ALPHA * (CHARGE_CAP * 100 - 100))
+    assert a.averages.values[1] == pytest.approx(100 + ALPHA * (CHARGE_CAP * 100 - 100))
 
 
 def test_draw_is_the_vector_conditioned_on_the_eligible() -> None:
@@ -91,10 +91,10 @@
     rng = random.Random(5)
     counts = [0] * 4
     for _ in range(20_000):
-        counts[a.draw([1, 3], rng.random())] += 1
+        counts[a.shares.draw([1, 3], rng.random())] += 1
     assert counts[0] == counts[2] == 0
     assert counts[1] / 20_000 == pytest.approx(a.p[1] / (a.p[1] + a.p[3]), abs=0.02)
-    assert a.draw([2], 0.999999) == 2
+    assert a.shares.draw([2], 0.999999) == 2
 
 
 def test_no_server_and_one_server() -> None:
@@ -132,7 +132,7 @@
         """The server's mean share over the second half of a run."""
         held = 0.0
         for step in range(3000):
-            i = a.draw(range(4), rng.random())
+            i = a.shares.draw(range(4), rng.random())
             base = slow if i == 0 else 1.0
             # Each server's latency grows with its share, as a queue's does.
             a.learn(NAMES[i], rng.expovariate(1.0) * 20 * base / (1.05 - min(a.p[i], 1.0)))
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -115,3 +115,14 @@
     before = clock.now()
     monkeypatch.setattr(time, "time", lambda: 0.0)
     assert clock.now() >= before
+
+
+def test_a_list_with_oddities_is_taken_and_told_in_a_line_each(caplog: pytest.LogCaptureFixture) -> None:
+    rows = [row("a", "127.0.0.1:1"), row("b", "127.0.0.1:2"), row("a", "127.0.0.1:3", "DRAINING")]
+    rows[1]["weight"] = float("inf")
+    listed = Naming(("hall",), ("std",)).read(listing(7, *rows))
+    assert [entry.server for entry in listed.entries] == [b"a", b"b", b"a"]
+    assert [record.getMessage() for record in caplog.records] == [
+        "discovery: 1 entries of a list repeat others; the last counts",
+        "discovery: 1 entries have a weight that is no positive number; the least counts",
+    ]
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -23,8 +23,7 @@
 
 
 def home(balancer: Balancer) -> set[bytes]:
-    pairs = zip(balancer._fleet.arms, balancer._fleet._home, strict=True)
-    return {s.entry.server for s, own in pairs if own}
+    return {s.entry.server for s in balancer._fleet.arms if balancer._fleet._kept(s)}
 
 
 def test_all_servers_are_met_alike_and_both_kinds_in_every_home() -> None:
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -125,7 +125,7 @@
         barred = any(h.barred_until > now or (h.trial and h.out) for h in s.classes)
         plain = not (s.out or s.ejected or s.trial or s.rest_until > now or cold or barred)
         assert plain or s.special, s
-        assert (i in fleet.special) == s.special and s.cold == cold
+        assert (s.entry.server in fleet.special) == s.special and s.cold == cold
         closed = s.ejected or s.rest_until > now or len(s.out) + 1 > s.ceiling or bool(s.trial and s.out)
         group, at = fleet.automaton.shares._place[i]
         assert fleet.automaton.shares.groups[group].closed[at] == closed, s
@@ -230,7 +230,7 @@
     balancer.handle(Arrival(999, 0, 3000.0), now)
     look = _look(balancer, 0) if 0 in balancer._requests else _look(balancer, 39)
     look.risky, look.tried = False, set()
-    pool = fleet._pool(look, False, range(60))
+    pool = fleet._pool(look, False, fleet.arms)
     assert 5 < len(pool) < 60
     counts: Counter[int] = Counter()
     draws = 0
@@ -410,3 +410,67 @@
     p = balancer.automaton.p
     assert sum(p) == pytest.approx(1.0) and min(p) >= FLOOR_SHARE / 50 * (1 - 1e-9)
     assert len(_sends(balancer, 1, 2.0)) == 1
+
+
+# ---------------------------------------------------------------- lists
+
+
+def test_single_changes_keep_sum_floor_and_ratios() -> None:
+    """Servers that come and go one by one, against a vector that is built anew each time."""
+    rng = random.Random(8)
+    a, names = Automaton(nodes=30), list(NAMES[:100])
+    a.resize(dict.fromkeys(names, 1.0), {name: name[-1] % 3 for name in names})
+    for turn in range(1500):
+        if rng.random() < 0.5 and len(a.servers) > 2:
+            left = rng.randrange(len(a.servers))
+            before = dict(zip(a.servers, a.p, strict=True))
+            gone = a.servers[left]
+            a.leave(left)
+            assert gone not in a.servers
+        elif len(a.servers) < 199:
+            new = rng.choice([n for n in NAMES if n not in a.servers])
+            before = dict(zip(a.servers, a.p, strict=True))
+            a.join(new, rng.choice([1e-3, 1.0, 1.0, 1e3]), new[-1] % 5)
+            assert a.servers[-1] == new
+        r = len(a.servers)
+        p = dict(zip(a.servers, a.p, strict=True))
+        assert abs(sum(a.p) - 1.0) < 1e-9 and min(a.p) >= FLOOR_SHARE / r * (1 - 1e-9), turn
+        same = [n for n in p if n in before]
+        if same:  # order is kept, as far as floating point tells two shares apart
+            ranked = sorted(same, key=lambda n: before[n])
+            assert all(p[x] <= p[y] * (1 + 1e-9) for x, y in zip(ranked, ranked[1:], strict=False))
+        server = rng.choice(a.servers)
+        a.learn(server, 1.0 + rng.random() * (1 + server[-1] % 3))
+        known = [v for v in a.averages.values if v is not None]
+        assert a.mean() == pytest.approx(sum(known) / len(known)) if known else a.mean() is None
+
+
+def test_a_change_of_one_entry_costs_what_changed() -> None:
+    """Counted: nodes of the trees that are touched by a server that goes and one that comes, of 5,000."""
+    balancer = _course(5000)
+    groups = balancer.automaton.shares.groups
+    before = sum(group.steps for group in groups)
+    gone = ServerEntry((17).to_bytes(3, "big"), Readiness.DRAINING, kind=1, zone=2)
+    balancer.handle(ServerList(ListKind.CHANGES, (gone,)), 2.0)
+    balancer.handle(ServerList(ListKind.CHANGES, (ServerEntry(b"new"),)), 3.0)
+    assert balancer.automaton.shares.groups is groups, "not built anew"
+    assert sum(group.steps for group in groups) - before < 200
+    assert len(balancer.automaton.servers) == 5000
+    _scan(balancer._fleet, balancer)
+
+
+def test_homes_follow_single_changes_as_they_would_a_list() -> None:
+    one = _course(900, balancers=1000, ordinal=11)
+    names = [s.entry for s in one._fleet.arms]
+    rng = random.Random(4)
+    for turn in range(300):
+        row = rng.choice(names)
+        there = rng.random() < 0.5
+        row = replace(row, readiness=Readiness.READY if there else Readiness.DRAINING)
+        one.handle(ServerList(ListKind.CHANGES, (row,)), 2.0 + turn)
+    listed = tuple(s.entry for s in one._fleet.arms)
+    other = Balancer(one.settings, seed=1)
+    other.handle(ServerList(ListKind.FULL, listed), 1.0)
+    assert one._fleet._home == other._fleet._home is not None
+    assert one._fleet._near_most == other._fleet._near_most
+    _scan(one._fleet, one)
