--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -1,12 +1,12 @@
 """What a request costs a node in service, now against another revision: python -m bench.node_cost --against
 REV.
 
-Two nodes, one from this tree and one from a checkout of REV, take the same load in turn over loopback, A B
-A B;
-in front of each a plain client, behind each a plain server of this file. Counted is the processor time that
-the
-kernel charged to the node's process, so that the load's own cost and the machine's other work do not enter.
-The last line gives the median microseconds a request of both, their ratio in pairs, and both peak memories.
+Two nodes, one from this tree and one from a checkout of REV, and a bare relay (bench/relay.py) take the same
+load in turn over loopback, A B C A B C; in front of each a plain client, behind each a plain server of this
+file. Counted is the processor time that the kernel charged to the node's process, so that the load's own cost
+and the machine's other work do not enter. The last line gives the median microseconds a request of each, the
+ratio of the nodes in pairs, what the node serves for a processor second against the relay (1 would be as
+much), and the nodes' peak memories.
 """
 
 from __future__ import annotations
@@ -131,11 +131,11 @@
     }
 
 
-async def _start(tree: Path, package: str, config: Path, discovery: int) -> _Node:
+async def _start(tree: Path, words: list[str], config: Path, discovery: int) -> _Node:
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        package,
+        *words,
         cwd=tree,
         env={
             "PATH": os.environ.get("PATH", ""),
@@ -178,7 +178,9 @@
         json.dump(_config(ports), file)
         file.flush()
         agent = discovery.sockets[0].getsockname()[1]
-        nodes = [await _start(tree, package, Path(file.name), agent) for tree, package in trees]
+        nodes = [await _start(tree, [package], Path(file.name), agent) for tree, package in trees]
+        relay = ["bench.relay", *map(str, ports)]
+        nodes.append(await _start(ROOT, relay, Path(file.name), agent))
         costs: list[list[float]] = [[] for _ in nodes]
         try:
             for node in nodes:
@@ -203,14 +205,16 @@
     parser.add_argument("--rounds", type=int, default=7)
     chosen = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
-        (now, now_mb), (then, then_mb) = uvloop.run(
+        (now, now_mb), (then, then_mb), (relay, _) = uvloop.run(
             _measure(
                 [(ROOT, "leadrudder"), unpack(chosen.against, Path(folder))], chosen.requests, chosen.rounds
             )
         )
     ratio = statistics.median(a / b for a, b in zip(now, then, strict=True))
+    of_relay = statistics.median(a / b for a, b in zip(relay, now, strict=True))
     print(
         f"now_us={statistics.median(now):.1f} against_us={statistics.median(then):.1f} ratio={ratio:.3f}"
+        f" relay_us={statistics.median(relay):.1f} node_of_relay={of_relay:.3f}"
         f" now_mb={now_mb:.1f} against_mb={then_mb:.1f} against={chosen.against} rounds={chosen.rounds}"
     )
     return 0
--- a/leadrudder/listed.py
+++ b/leadrudder/listed.py
@@ -30,6 +30,7 @@
         self._classes = classes
         self.servers: dict[ServerId, Server] = {}
         self.arms: list[Server] = []  # those listed, each at its index
+        self._gone: dict[ServerId, Server] = {}  # those that still held calls when they went
 
     def take(self, event: ServerList, now: float) -> Change:
         """Follow a list or changes of one; an entry that is there twice counts as the last says.
@@ -44,6 +45,7 @@
             gone = [server for name, server in self.servers.items() if name not in entries]
             for server in gone:
                 self._unlist(server, change)
+        self._forget()
         return change
 
     def _take(self, entry: ServerEntry, change: Change, now: float) -> None:
@@ -71,14 +73,15 @@
         if server.listed:
             server.listed = False
             change.left.append(server)
-        if not server.out:
-            # What has gone and holds no call is forgotten: over a long day new ids come without end.
-            del self.servers[server.entry.server]
-
-    def forget(self, server: Server) -> None:
-        """Its last call has ended."""
-        if not server.listed and not server.out and self.servers.get(server.entry.server) is server:
-            del self.servers[server.entry.server]
+        self._gone[server.entry.server] = server
+
+    def _forget(self) -> None:
+        """What has gone and holds no call is forgotten: over a long day new ids come without end."""
+        for name, server in list(self._gone.items()):
+            if server.listed or not server.out:
+                del self._gone[name]
+            if not server.listed and not server.out:
+                del self.servers[name]
 
     def replace(self, joined: list[Server]) -> None:
         """Take out all that are listed no more, the others keeping their order, and put these behind them."""
--- a/leadrudder/node/servers.py
+++ b/leadrudder/node/servers.py
@@ -130,7 +130,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._servers.closed(self)
         if self._call is not None:
-            self.peer.distrust(self._rested)
+            self._servers.distrust(self.peer, self._rested)
         self._break()
 
     def _break(self, outcome: Outcome = Outcome.RESET) -> None:
@@ -195,6 +195,9 @@
         self._idle_s = IDLE_PART * idle_s
         self._most_open = most_open
         self._peers: dict[ServerId, Peer] = {}
+        self._by_address: dict[tuple[str, int], ServerId] = {}
+        self._doubted: dict[Peer, None] = {}  # those trusted less than usual
+        self._idle: dict[Connection, None] = {}  # the longest idle first
         self._open: dict[Connection, None] = {}  # sets with an order: the same at every play
         self._opening: dict[asyncio.Task[None], None] = {}
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
@@ -217,8 +220,8 @@
                 self._drop(entry.server)
                 continue
             address = listing.addresses[entry.server]
-            rival = self._at(address, entry.server)
-            if rival is not None:
+            rival = self._by_address.get(address)
+            if rival is not None and rival != entry.server:
                 older = entry.server if self._peers[rival].started_ms > entry.started_ms else rival
                 self._drop(older)
                 replaced.append(older)
@@ -229,17 +232,17 @@
                 self._drop(entry.server)
                 name = entry.server.decode(errors="replace")
                 self._peers[entry.server] = Peer(name, address, entry.started_ms, self._idle_s)
+                self._by_address[address] = entry.server
         return replaced
 
-    def _at(self, address: tuple[str, int], other_than: ServerId) -> ServerId | None:
-        found = (s for s, peer in self._peers.items() if peer.address == address and s != other_than)
-        return next(found, None)
-
     def _drop(self, server: ServerId) -> None:
         peer = self._peers.pop(server, None)
         if peer is not None:
             peer.current = False
             self._shed(list(peer.idle))
+            self._doubted.pop(peer, None)
+            if self._by_address.get(peer.address) == server:
+                del self._by_address[peer.address]
 
     def any_listed(self) -> bool:
         return bool(self._peers)
@@ -292,6 +295,7 @@
             connection = peer.idle[i]
             if now - connection.idle_since >= REST_S:
                 del peer.idle[i]
+                del self._idle[connection]
                 if now - connection.idle_since <= peer.trusted_s and connection.quiet():
                     return connection
                 connection.abandon()
@@ -304,9 +308,19 @@
 
     def closed(self, connection: Connection) -> None:
         self._open.pop(connection, None)
-        if connection in connection.peer.idle:
-            connection.peer.idle.remove(connection)
-            connection.peer.distrust(self._loop.time() - connection.idle_since)
+        if connection in self._idle:
+            self._unrest(connection)
+            self.distrust(connection.peer, self._loop.time() - connection.idle_since)
+
+    def distrust(self, peer: Peer, idle_s: float) -> None:
+        """A server ended a connection, or reset what came on it, after it had been idle so long."""
+        peer.distrust(idle_s)
+        if peer.current and peer.trusted_s < self._idle_s:
+            self._doubted[peer] = None
+
+    def _unrest(self, connection: Connection) -> None:
+        connection.peer.idle.remove(connection)
+        del self._idle[connection]
 
     def rest(self, connection: Connection) -> None:
         """Keep a connection for the next call, if its server is still the same process."""
@@ -315,6 +329,7 @@
             return
         connection.idle_since = self._loop.time()
         connection.peer.idle.append(connection)
+        self._idle[connection] = None
 
     def close_idle(self, server: ServerId) -> None:
         peer = self._peers.get(server)
@@ -331,17 +346,14 @@
 
     def _shed(self, connections: Iterable[Connection]) -> None:
         for connection in connections:
-            connection.peer.idle.remove(connection)
+            self._unrest(connection)
             connection.abandon()
 
-    def _idle(self) -> list[Connection]:
-        return [c for peer in self._peers.values() for c in peer.idle]
-
     def _room(self) -> bool:
         """Whether one more may be opened; the connection that has been idle longest makes way for it."""
         if len(self._open) + len(self._opening) < self._most_open:
             return True
-        oldest = min(self._idle(), key=lambda c: c.idle_since, default=None)
+        oldest = next(iter(self._idle), None)
         if oldest is None:
             return False
         self._shed([oldest])
@@ -350,6 +362,8 @@
     def _sweep(self) -> None:
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
         now = self._loop.time()
-        for peer in self._peers.values():
+        for peer in list(self._doubted):
             peer.trusted_s = min(self._idle_s, TRUST_BACK * peer.trusted_s)
-            self._shed([c for c in peer.idle if now - c.idle_since > peer.trusted_s])
+            if peer.trusted_s == self._idle_s:
+                del self._doubted[peer]
+        self._shed([c for c in self._idle if now - c.idle_since > c.peer.trusted_s])
--- a/leadrudder/policy/decide.py
+++ b/leadrudder/policy/decide.py
@@ -47,7 +47,7 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings = settings
         self._turn = Turn(random.Random(seed))
-        self._timers = Timers()
+        self._timers = Timers(lambda kind, of: kind == HEDGE and of not in self._requests)
         self._calls = ListCalls(settings, self._turn.rng)
         self._fleet = Placement(settings, self._turn)
         self.automaton = self._fleet.automaton
@@ -288,7 +288,6 @@
         self._judge(server, attempt, event)
         self._health.count(server, 1)
         self._fleet.note(server)
-        self._fleet.list.forget(server)
         request = self._requests.get(event.request)
         if request is None:
             return
@@ -353,7 +352,7 @@
             self.automaton.charge(name, elapsed)
             # The fleet is strained only when more turn calls away than could be left out: servers that
             # drain in turn were taken for strain.
-            if self._health.many_turn_away():
+            if self._health.many_turn_away(server):
                 self._feel(1.0)
         elif outcome in (
             Outcome.ERROR,
--- a/leadrudder/policy/health.py
+++ b/leadrudder/policy/health.py
@@ -48,9 +48,9 @@
         self._class_usual = [0.0] * len(settings.classes)
         fleet.count = self.count
 
-    def many_turn_away(self) -> bool:
+    def many_turn_away(self, server: Server) -> bool:
         """Whether more turn calls away than could be left out; the one at hand is not in the sum."""
-        return self._turned + 1 > EJECT_MOST * len(self._fleet.arms)
+        return self._turned + (server.at >= 0) > EJECT_MOST * len(self._fleet.arms)
 
     def count(self, server: Server, times: int) -> None:
         """Take a server out of what is summed up over all arms (-1) before it changes, and in again (1)."""
@@ -127,7 +127,7 @@
         if server.ejected:
             return
         peers = len(self._fleet.arms) - (server.at >= 0)  # it is not in the sums itself
-        norm = self._fails / peers if peers else 1.0
+        norm = max(0.0, self._fails) / peers if peers else 1.0
         if server.trial or (
             server.fail >= FAIL_EJECT
             and server.fail >= FAIL_VS_PEERS * norm
--- a/leadrudder/timers.py
+++ b/leadrudder/timers.py
@@ -4,15 +4,22 @@
 
 import heapq
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 Subject = int | bytes | None
+SHED_LEAST = 256  # things that are kept without a look whether they are void
 
 
 class Timers:
-    """Things of a kind and a subject that fall due; time is the owner's."""
+    """Things of a kind and a subject that fall due; time is the owner's.
 
-    def __init__(self) -> None:
+    void tells what nobody waits for any more: it is thrown out whenever there are twice as many as after the
+    last time, so that memory follows what is open and each costs O(1) looks.
+    """
+
+    def __init__(self, void: Callable[[int, Subject], bool]) -> None:
+        self._void = void
+        self._shed_at = SHED_LEAST
         self._heap: list[tuple[float, int, int, Subject]] = []
         self._seq = 0
         self._wake = math.inf
@@ -21,6 +28,13 @@
     def at(self, when: float, kind: int, subject: Subject = None) -> None:
         self._seq += 1
         heapq.heappush(self._heap, (when, self._seq, kind, subject))
+        if len(self._heap) > self._shed_at:
+            self._heap = [x for x in self._heap if not self._void(x[2], x[3])]
+            heapq.heapify(self._heap)
+            self._shed_at = max(SHED_LEAST, 2 * len(self._heap))
+
+    def __len__(self) -> int:
+        return len(self._heap)
 
     def due(self, now: float) -> Iterator[tuple[int, Subject]]:
         """Take out what is due, in order, also what falls due meanwhile."""
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -29,6 +29,7 @@
 )
 from leadrudder.policy.automaton import FLOOR_SHARE, KINDS_MOST, Automaton
 from leadrudder.policy.placement import SCAN_EACH, SCAN_MOST, TRIES, Look, Placement
+from leadrudder.timers import SHED_LEAST
 from tests.checker import Surrounding
 from tests.plain_automaton import PlainAutomaton
 
@@ -474,3 +475,18 @@
     assert one._fleet._home == other._fleet._home is not None
     assert one._fleet._near_most == other._fleet._near_most
     _scan(one._fleet, one)
+
+
+def test_memory_follows_what_is_open() -> None:
+    """Ten thousand requests in ten seconds, few open at once: looks at the finished are thrown out."""
+    balancer = _course(50)
+    now, out = 1.0, []
+    for request in range(10_000):
+        now += 1.0
+        out += [(request, server) for server in _sends(balancer, request, now)]
+        if len(out) > 20:
+            done, server = out.pop(0)
+            balancer.handle(AttemptEnded(done, 0, server, Outcome.OK, 900.0, True), now)
+    assert len(balancer._requests) < 100
+    assert len(balancer._timers) <= SHED_LEAST + 1
+    assert len(balancer._fleet._due) < 100
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -279,7 +279,7 @@
             assert peer.trusted_s < told
             peer.trusted_s = 0.0
             await a.outcome()
-            while a.servers._loop.time() <= a.servers._idle()[0].idle_since:
+            while a.servers._loop.time() <= next(iter(a.servers._idle)).idle_since:
                 await asyncio.sleep(0)
             await a.outcome()
             assert server.opened == 3, "an older connection than the server keeps was used"
