The limit grows before calm is known while latencies stay near their least

Seen on the second deployment: 28 to 60% of the first ten seconds was refused while no server had a queue and no node of the front was strained. Cause: the limit of calls out stands at six a server until calm is known, which takes twenty mean latencies; where calls wait for others half a second each, that is ten seconds (admission.py, feel).

--- a/leadrudder/policy/admission.py
+++ b/leadrudder/policy/admission.py
@@ -15,6 +15,7 @@
 TIMES_CALM_LATE = 1.5  # where a node has so few answers that strain is averaged over five
 CALM_AFTER = 10  # answers before a mean latency counts as such
 CALM_TURNS = 20.0  # and mean latencies since the first call: the first answers come from an empty fleet
+SETTLED_AFTER = 60  # answers after which the first ones weigh little in a mean over twenty
 CALM_FADE = 0.00003  # by which the calmest mean follows the present one at each answer
 STRAIN_STEP = 0.05  # strain is averaged over about twenty answers
 STRAIN_AIMS = 2.0  # but where those take longer than this many aims, over as many as come in that time,
@@ -54,6 +55,7 @@
         self._usual = 0.0  # the same over about twenty answers
         self._answers = 0
         self.calm = math.inf  # the calmest mean latency
+        self._least = math.inf  # the same before that is known
         self._served = Rate(self._aim)
         self._peak = 0.0  # best recent rate of answers a millisecond
         self._peak_at = 0.0
@@ -91,6 +93,14 @@
             return False
         return self._turn.now - self._first >= CALM_TURNS * self._level
 
+    def _seems_calm(self) -> bool:
+        """Before calm is known: latencies stay near the least so far, so what was added has not queued.
+
+        Guards against a third of a day's first ten seconds being refused by idle servers, where calls take
+        half a second as they wait for others: twenty of those are ten seconds.
+        """
+        return self._level < TIMES_CALM_LATE * self._least < math.inf
+
     def part(self) -> float:
         """This node's part of the fleet, in servers: at the front, where all that comes in is admitted.
 
@@ -105,6 +115,8 @@
         self._level += max(self._step, 1.0 / self._answers) * (latency - self._level)
         # The least of a short average lies far below any mean: what is calm is judged by a longer one.
         self._usual += max(STRAIN_STEP, 1.0 / self._answers) * (latency - self._usual)
+        if self._answers >= SETTLED_AFTER:
+            self._least = min(self._least, self._usual)
         self._served.add(1.0, self._turn.now)
         fade = math.exp(-(self._turn.now - self._peak_at) / (PEAK_FADE * self._aim))
         self._peak_at = self._turn.now
@@ -152,10 +164,10 @@
             # halved the rate of answers.  It could hurt where servers bear far fewer calls than LIMIT_START.
             floor = max(least, LIMIT_START * self.part()) if self.pressure < 1.0 else least
             self._limit = max(floor, enough, min(self._limit, reach) * down)
-        elif out + 1 >= 0.8 * self._limit and self.calm_known():  # no growth before calm is known
+        elif out + 1 >= 0.8 * self._limit and (self.calm_known() or self._seems_calm()):
             grown = self._limit * (LIMIT_UP if self._strained else LIMIT_START_UP) + 1.0
             # By Little's law more calls out than this, at the best rate seen, mean a queue.
-            enough = max(GROW_TIMES * self.calm * self._peak, LIMIT_START * least)
+            enough = max(GROW_TIMES * min(self.calm, self._least) * self._peak, LIMIT_START * least)
             enough += math.sqrt(enough)
             self._limit = max(self._limit, min(grown, enough))
         shedding = self._strain > 1.0
--- a/leadrudder/policy/automaton.py
+++ b/leadrudder/policy/automaton.py
@@ -26,7 +26,6 @@
 FLOOR_SHARE = 0.4  # p_min = this / r; also pulls shares that latency cannot tell apart back to uniform
 NEWCOMER_SHARE = 0.5  # a newcomer's part of the mean share until it has shown what it can do
 CHARGE_CAP = 3.0  # a failure enters an average at no more than this many means: silence lifts no threshold
-SCALE_LEAST = 1e-4  # of a map kept apart from the shares: below this rounding is summed up and taken out
 KINDS_MOST = 32  # listed kinds that are told from each other
 
 
@@ -71,7 +70,7 @@
         self.shares.add(i, theta * (1.0 - (r - 1) * p_min - p_min))
         if self.theta_kind:
             self._favour_kind(self.shares.groups[self.shares.group_of(i)], p_min)
-        if self.shares.least_scale() < SCALE_LEAST:
+        if self.shares.worn():
             self._renew()
         return True
 
@@ -108,7 +107,7 @@
         return self.mean() or latency
 
     def _renew(self) -> None:
-        """Before a scale is too small to be exact: sum all anew, to 1 in all and at the floor or above."""
+        """Take out what rounding has summed up: all anew, to 1 in all and at the floor or above."""
         self.shares.replace(floored(self.p, FLOOR_SHARE / len(self.servers)))
 
     def resize(self, weights: Mapping[ServerId, float], kinds: Mapping[ServerId, int] | None = None) -> None:
@@ -156,7 +155,7 @@
     def _hold_floor(self, least: float) -> None:
         """The floor has moved with r, and no share is under the least."""
         self.shares.draw_to_mean(FLOOR_SHARE / len(self.servers), least)
-        if self.shares.least_scale() < SCALE_LEAST:
+        if self.shares.worn():
             self._renew()
         self._set_steps()
 
--- a/leadrudder/policy/decide.py
+++ b/leadrudder/policy/decide.py
@@ -354,12 +354,7 @@
             # drain in turn were taken for strain.
             if self._health.many_turn_away(server):
                 self._feel(1.0)
-        elif outcome in (
-            Outcome.ERROR,
-            Outcome.RESET,
-            Outcome.CONNECT_FAILED,
-            Outcome.SPOILT,
-        ):
+        elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.SPOILT):
             if outcome in (Outcome.ERROR, Outcome.SPOILT):
                 server.heard = self._turn.now
             self.automaton.charge(name, elapsed)
--- a/leadrudder/weights.py
+++ b/leadrudder/weights.py
@@ -11,6 +11,11 @@
 import math
 from collections.abc import Sequence
 
+# A value is a weight divided by the scale, so what rounding adds to a sum is a 1e-16th part of the weights of
+# that time, however small the scale has become, and fades with them: only the range of floats bounds it.
+SCALE_LEAST = 1e-200
+RENEW_EACH = 20  # additions for each item after which rounding is taken out all the same
+
 
 class Weights:
     """Weights of n items, by index; all draws take x in [0, mass of the open).
@@ -170,9 +175,10 @@
     groups: of each item.  Items are known by their index; a draw takes a group first.
     """
 
-    __slots__ = ("_members", "_place", "groups")
+    __slots__ = ("_added", "_members", "_place", "groups")
 
     def __init__(self, values: Sequence[float], groups: Sequence[int]) -> None:
+        self._added = 0
         members: dict[int, list[int]] = {}
         for i, group in enumerate(groups):
             members.setdefault(group, []).append(i)
@@ -227,6 +233,7 @@
     def add(self, i: int, weight: float) -> None:
         group, at = self._place[i]
         self.groups[group].add(at, weight)
+        self._added += 1
 
     def set_open(self, i: int, is_open: bool) -> None:
         group, at = self._place[i]
@@ -235,11 +242,14 @@
         else:
             self.groups[group].close(at)
 
-    def least_scale(self) -> float:
-        return min(weights.scale for weights in self.groups)
+    def worn(self) -> bool:
+        """Whether all should be summed anew (replace): a scale nears the least that floats have room for, or
+        enough has been added for that to cost each addition next to nothing."""
+        return self._added > RENEW_EACH * len(self._place) or any(w.scale < SCALE_LEAST for w in self.groups)
 
     def replace(self, values: Sequence[float]) -> None:
         """New weights for all items, which stay open or closed."""
+        self._added = 0
         for weights, indices in zip(self.groups, self._members, strict=True):
             weights.values = [values[i] for i in indices]
             weights.scale, weights.offset = 1.0, 0.0
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from leadrudder import Balancer
 from leadrudder.interface import (
@@ -467,6 +467,34 @@
     assert not any(t.startswith("admission limit on") for t in texts(play))
 
 
+def _start_of_a_day(latency_of: Callable[[int], float]) -> tuple[Surrounding, int]:
+    """The first seven seconds before two tiers: an arrival every 10 ms, answered after what so many calls out
+    take; returns how many were refused."""
+    play = make(RequestClass("r", 2500, 6000), servers=4, stages=2, stage=0)
+    for _ in range(700):
+        play.arrive()
+        play.step(10.0)
+        out = [(r, play.owed[r].attempts[0].sent) for r in play.open if play.owed[r].attempts]
+        for request, sent in out:
+            if play.now - sent >= latency_of(len(out)):
+                play.end(request, 0, Outcome.OK)
+    return play, sum(isinstance(a, Refuse) for a in play.log)
+
+
+def test_where_calls_take_long_the_limit_grows_before_twenty_of_them_are_over() -> None:
+    """Seen on a second deployment, where calls wait for others: half a day's first ten seconds was refused
+    while no server had a queue, as calm counts as known only after twenty mean latencies."""
+    play, refused = _start_of_a_day(lambda out: 400.0)
+    assert not play.balancer._admission.calm_known()
+    assert play.balancer._admission._limit > 40.0 and refused < 100
+
+
+def test_a_start_in_which_latencies_climb_does_not_grow_the_limit() -> None:
+    """The other side of it: where what is added queues, a node adds no more than it starts with."""
+    play, refused = _start_of_a_day(lambda out: 300.0 + 100.0 * max(0, out - 12))
+    assert play.balancer._admission._limit <= 6.0 * 4 + 1.0 and refused > 100
+
+
 def test_a_server_that_fails_one_class_keeps_the_others_and_is_left_alone_with_that_one() -> None:
     """A good trial with another class says nothing: seen as two lost requests for each of its returns."""
     play = make(SAFE, UNSAFE, may_probe=True, cold_ms=1000.0)
