--- a/leadrudder/interface.py
+++ b/leadrudder/interface.py
@@ -175,11 +175,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerList:
-    """News of the server list; a server absent from a whole list is gone."""
+    """News of the server list; a server absent from a whole list is gone.
+
+    more: further pieces of the same news follow at once.
+    """
 
     kind: ListKind
     entries: tuple[ServerEntry, ...] = ()
     version: int = 0
+    more: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/leadrudder/node/config.py
+++ b/leadrudder/node/config.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from leadrudder.interface import ImpossibleSettings, Settings
-from leadrudder.node.discovery import ListError, Listing, Naming
+from leadrudder.node.lists import ListError, Listing, Naming
 from leadrudder.node.platform import SYSTEM, Platform
 from leadrudder.node.routes import Route
 from leadrudder.settings import SettingsError, read_settings
--- a/leadrudder/node/discovery.py
+++ b/leadrudder/node/discovery.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
-import math
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any, cast
-from zlib import crc32
+from collections import deque
+from collections.abc import Callable, Generator
+from typing import cast
 
 import httptools
 
-from leadrudder.interface import ListKind, Readiness, ServerEntry, ServerId, ServerList
+from leadrudder.interface import ServerId
+from leadrudder.node.lists import SHORT, Book, ListError, Listing, Naming
 
 log = logging.getLogger(__name__)
 
@@ -21,89 +19,6 @@
 REWATCH_S = 0.25  # pause before the local agent is watched anew
 MAX_LINE = 4 * 1024 * 1024  # a list of some ten thousand servers
 
-_LIFECYCLES = {
-    "SERVING": Readiness.READY,
-    "DRAINING": Readiness.DRAINING,
-    "DELETED": Readiness.GONE,
-}
-
-
-class ListError(Exception):
-    """A list from discovery that cannot be read; its text names the field."""
-
-
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """A list or a change of it, in the module's form, and where its servers listen."""
-
-    version: int
-    whole: bool
-    entries: tuple[ServerEntry, ...]
-    addresses: dict[ServerId, tuple[str, int]]
-
-    def event(self, *, cached: bool = False) -> ServerList:
-        """What the module is told."""
-        kind = ListKind.CACHED if cached else ListKind.FULL if self.whole else ListKind.CHANGES
-        return ServerList(kind, self.entries, self.version)
-
-
-@dataclass(frozen=True, slots=True)
-class Naming:
-    """Turns discovery's names of zones, machine types and cells into the module's numbers."""
-
-    zones: tuple[str, ...]
-    models: tuple[str, ...]
-
-    def read(self, raw: Any) -> Listing:
-        """One object of discovery's; ListError if it is not one."""
-        try:
-            instances = raw["instances"]
-            entries, addresses = [], {}
-            for item in instances:
-                entry = self._entry(item)
-                entries.append(entry)
-                host, _, port = item["hostPort"].rpartition(":")
-                addresses[entry.server] = (host, int(port))
-            _tell_oddities(entries, len(addresses))
-            return Listing(int(raw["generation"]), bool(raw["reset"]), tuple(entries), addresses)
-        except KeyError as error:
-            raise ListError(f"{error} is missing or unknown") from None
-        except (TypeError, ValueError, AttributeError) as error:
-            raise ListError(f"not a list of servers: {error}") from None
-
-    def _entry(self, item: dict[str, Any]) -> ServerEntry:
-        return ServerEntry(
-            server=item["instanceId"].encode(),
-            readiness=_LIFECYCLES[item["lifecycle"]],
-            capacity_hint=float(item.get("weight", 1.0)),
-            kind=_number(self.models, item.get("machineType", "")),
-            zone=_number(self.zones, item.get("zone", "")),
-            cell=_number((), item.get("cell", 0)),
-            started_ms=float(item.get("startedAtMs", 0)),
-        )
-
-
-def _tell_oddities(entries: list[ServerEntry], different: int) -> None:
-    """One line for what a list says twice or cannot mean; the module takes the last, and bounds weights."""
-    again = len(entries) - different
-    if again:
-        log.warning("discovery: %d entries of a list repeat others; the last counts", again)
-    odd = sum(1 for entry in entries if not 0.0 < entry.capacity_hint < math.inf)
-    if odd:
-        log.warning("discovery: %d entries have a weight that is no positive number; the least counts", odd)
-
-
-def _number(names: tuple[str, ...], name: Any) -> int:
-    """A name that the settings do not list still tells its servers from the others.
-
-    Its number is computed and not remembered: over a long day new names must not add up.
-    """
-    if isinstance(name, int):
-        return name
-    if name in names:
-        return names.index(name)
-    return len(names) + crc32(str(name).encode())
-
 
 class _Watch(asyncio.Protocol):
     """One watch on one connection: whole lines out, then one call to ended, unless it was closed before."""
@@ -139,6 +54,15 @@
         except OSError:
             self._end()
 
+    def pause(self) -> None:
+        """Read no further for now: what comes waits in the network."""
+        if not self._over and self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        if not self._over and self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def close(self) -> None:
         """Drop it without a word."""
         self._over = True
@@ -221,6 +145,17 @@
         self._watch: _Watch | None = None
         self._successor: _Watch | None = None  # at the address that discovery moved to, until it speaks
         self._timer: asyncio.TimerHandle | None = None
+        self._book = Book()
+        self._reading: Generator[None, None, None] | None = None  # a long line
+        self._lines: deque[tuple[_Watch, bytes]] = deque()  # what came behind it
+
+    def begin_with(self, known: Listing) -> None:
+        """The list that is known at the start has been handed on by its owner."""
+        self._book.take(known)
+
+    def forget(self, server: ServerId) -> None:
+        """A server of the list was left out by the owner: the next list that names it tells of it again."""
+        self._book.forget(server)
 
     def start(self, version: int | None) -> None:
         """Begin from the version of the known list; None: there is none, and it is asked for at once.
@@ -233,7 +168,7 @@
 
     def subscribe(self) -> None:
         """Watch from the last version on; replaces a watch that is still there."""
-        self.close()
+        self._leave()
         self._wanted = True
         self._watch = self._begin()
 
@@ -250,7 +185,16 @@
             self._succeed()
 
     def close(self) -> None:
-        """Drop the watch without a word."""
+        """The end: drop all without a word."""
+        self._leave()
+        self._lines.clear()
+        if self._reading is not None:
+            self._reading.close()
+            self._reading = None
+
+    def _leave(self) -> None:
+        """Drop the watch without a word.  A list that it has brought whole is still read to its end: one that
+        always breaks behind a long list would else never be followed."""
         for watch in (self._watch, self._successor):
             if watch is not None:
                 watch.close()
@@ -278,15 +222,58 @@
                 # without a reply, and asked anew every second for as long as nothing changed.
                 self._on_list(Listing(self._version, False, (), {}))
             return
+        if self._reading is not None:
+            self._lines.append((watch, line))
+        else:
+            self._take(watch, line)
+
+    def _take(self, watch: _Watch, line: bytes) -> None:
+        """Read a line: a short one at once, a long one slice by slice, while the node goes on."""
+        slices = self._follow(watch, line)
+        if len(line) <= SHORT:
+            for _ in slices:
+                pass
+            return
+        self._reading = slices
+        watch.pause()
+        self._loop.call_soon(self._read_on, watch)
+
+    def _read_on(self, watch: _Watch) -> None:
+        if self._reading is None:
+            return  # closed meanwhile
+        try:
+            next(self._reading)
+        except StopIteration:
+            self._read_next(watch)
+        except Exception:
+            log.exception("fault while a list was followed")  # and the lists behind it still count
+            self._read_next(watch)
+        else:
+            self._loop.call_soon(self._read_on, watch)
+
+    def _read_next(self, watch: _Watch) -> None:
+        """A long line is done: on with what came behind it."""
+        self._reading = None
+        watch.resume()
+        while self._lines and self._reading is None:
+            self._take(*self._lines.popleft())
+
+    def _follow(self, watch: _Watch, line: bytes) -> Generator[None, None, None]:
+        """Read one line and hand on what it changes, in slices."""
         try:
-            listing = self._naming.read(json.loads(line))
+            listing = yield from self._naming.read_text(line.decode())
         except (ValueError, ListError) as error:
             log.warning("discovery: bad line: %s", error)
             watch.close()
-            self._ended(watch)
+            if watch in (self._watch, self._successor):
+                self._ended(watch)
             return
+        for piece in self._book.pieces(listing):
+            if piece is not None:
+                self._on_list(piece)
+            yield
+        # Only now: a list that was not followed to its end is asked for again.
         self._version = listing.version
-        self._on_list(listing)
 
     def _ended(self, watch: _Watch) -> None:
         if watch is self._successor:
@@ -298,7 +285,7 @@
             self._watch = None
             if self._successor is not None:  # the one that closes after a move; the other is on its way
                 return
-        self.close()
+        self._leave()
         if self._pushed:
             self._timer = self._loop.call_later(REWATCH_S, self.subscribe)
         else:
--- a/leadrudder/node/node.py
+++ b/leadrudder/node/node.py
@@ -40,8 +40,9 @@
 )
 from leadrudder.node.callers import Ask, Callers, Exchange
 from leadrudder.node.config import Config, ConfigError, discovery_anew
-from leadrudder.node.discovery import Discovery, Listing
+from leadrudder.node.discovery import Discovery
 from leadrudder.node.http import CONTENT_TYPE, REQUEST_ID, Message, MessageError, request_head
+from leadrudder.node.lists import Listing
 from leadrudder.node.platform import SYSTEM, Platform
 from leadrudder.node.servers import Call, Servers
 from leadrudder.policy.decide import Balancer
@@ -141,6 +142,7 @@
         self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         known = self._config.known
         if known is not None:
+            self._discovery.begin_with(known)
             self._follow(known, cached=True)
         self._discovery.start(known.version if known is not None else None)
         host, port = await self._callers.listen(self._config.listen)
@@ -356,6 +358,8 @@
         replaced = self._servers.update(listing)
         self._post(listing.event(cached=cached))
         if replaced:
+            for server in replaced:
+                self._discovery.forget(server)
             gone = tuple(ServerEntry(server, Readiness.GONE) for server in replaced)
             self._post(ServerList(ListKind.CHANGES, gone, listing.version))
 
--- a/leadrudder/node/servers.py
+++ b/leadrudder/node/servers.py
@@ -13,8 +13,8 @@
 from typing import cast
 
 from leadrudder.interface import Outcome, Readiness, ServerId
-from leadrudder.node.discovery import Listing
 from leadrudder.node.http import NOT_RUN, Message, MessageError, Reader
+from leadrudder.node.lists import Listing
 from leadrudder.node.platform import SYSTEM, Platform
 
 log = logging.getLogger(__name__)
--- a/leadrudder/policy/automaton.py
+++ b/leadrudder/policy/automaton.py
@@ -10,7 +10,7 @@
 
 from leadrudder.estimators import Column
 from leadrudder.interface import ServerId
-from leadrudder.weights import GroupedWeights, Weights, floored
+from leadrudder.weights import GroupedWeights, Newcomers, Weights, floored
 
 # The automaton.  A copy sees few calls over many servers, so both steps are far above the paper's.
 ALPHA = 0.15  # an average spans about seven of its server's calls
@@ -43,6 +43,7 @@
         self.theta = 0.0  # the steps are set with the servers
         self.theta_kind = 0.0  # 0 where all are listed as of one kind
         self._nodes = nodes
+        self.newcomers = Newcomers(NEWCOMER_SHARE)  # of the list at hand
         self.shares = GroupedWeights([], [])  # the vector, by kinds
         self._kinds: dict[int, int] = {}  # listed kinds, and the group of each
         self._index: dict[ServerId, int] = {}
@@ -117,6 +118,7 @@
         averages: list[float | None] = [self.averages.values[self._index[s]] for s in stay]
         new = [s for s in weights if s not in self._index]
         unit = NEWCOMER_SHARE * sum(ratios) / sum(weights[s] for s in stay) if stay else 1.0
+        self.newcomers.begin(len(stay), sum(weights[s] for s in new))
         self.servers = stay + new
         self.averages = Column(averages + [None] * len(new))
         self._index = {s: i for i, s in enumerate(self.servers)}
@@ -131,7 +133,7 @@
     def join(self, server: ServerId, weight: float, kind: int) -> None:
         """One more server, of this weight against the mean of the others: the others keep their ratios."""
         r = len(self.servers) + 1
-        new = min(max(NEWCOMER_SHARE * weight / (r - 1 + NEWCOMER_SHARE * weight), FLOOR_SHARE / r), 1 / 2)
+        new = min(max(self.newcomers.share(weight), FLOOR_SHARE / r), 1 / 2)
         self._index[server] = r - 1
         self.servers.append(server)
         self.averages.append(None)
@@ -142,6 +144,7 @@
 
     def leave(self, i: int) -> None:
         """One server goes, and the last takes its index: the others keep their ratios."""
+        self.newcomers.leave()
         r, mine, last = len(self.servers) - 1, self.shares.weight(i), self.servers.pop()
         self.shares.remove(i)
         self.averages.remove(i)
--- a/leadrudder/policy/decide.py
+++ b/leadrudder/policy/decide.py
@@ -20,8 +20,8 @@
 from leadrudder.policy.admission import Admission
 from leadrudder.policy.attempts import Attempt, Request, may_go_on, permitted
 from leadrudder.policy.health import Health
-from leadrudder.policy.placement import Look, Placement
-from leadrudder.records import Server, Turn
+from leadrudder.policy.placement import Placement
+from leadrudder.records import Look, Server, Turn
 from leadrudder.timers import Timers
 
 FULL_PAUSE = 0.02  # a server that was full rests for this part of the aim, twice as long each time until it
--- a/leadrudder/policy/placement.py
+++ b/leadrudder/policy/placement.py
@@ -9,14 +9,13 @@
 import heapq
 import math
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 
 from leadrudder.estimators import Rate
 from leadrudder.interface import Effect, ServerId, ServerList, Settings
 from leadrudder.listed import Listed
-from leadrudder.policy.attempts import Request, permitted
+from leadrudder.policy.attempts import permitted
 from leadrudder.policy.automaton import Automaton
-from leadrudder.records import Server, Turn
+from leadrudder.records import Look, Server, Turn
 from leadrudder.rings import Rings
 
 EJECT_MOST = 0.34  # part of the fleet that may be out at once
@@ -48,24 +47,6 @@
     return out + 1 <= max(1.0, most * servers)
 
 
-@dataclass(slots=True)
-class Look:
-    """What is the same for all servers while one is drawn for a request."""
-
-    request: Request
-    mean: float  # of all averages
-    calm: float  # the calmest mean latency
-    total: int  # calls out
-    late: float  # what an attempt may take before it is late
-    flow: float | None = None  # to a warm server; counted once, and only if a server is cold
-    risky: bool = field(init=False)
-    tried: set[ServerId] = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.risky = self.request.risky() is not None
-        self.tried = {a.entry.server for a in self.request.attempts}
-
-
 class Placement:
     """The listed servers and the draw among them."""
 
@@ -86,6 +67,7 @@
         self._due: list[tuple[float, int, Server]] = []  # when to look again whether one still is special
         self._seq = 0
         self._cold_arms = 0
+        self._more = False  # further pieces of a list follow
         self._flow = Rate(settings.cold_ms or 1000.0)  # units sent to warm servers
         self._scans = 0.0  # servers that may be looked at beyond those drawn
         self._panic: list[tuple[bool, int]] = [(False, 0)] * len(settings.classes)  # and decisions since
@@ -94,13 +76,15 @@
 
     def take(self, event: ServerList) -> None:
         """A list, or changes of one; what costs more by the piece is done anew as a whole."""
+        pieces, self._more = event.more or self._more, event.more
         change = self.list.take(event, self._turn.now)
         for server in change.fresh:
             self.count(server, -1)
             server.start_anew(self._turn.now, self._turn.rng.random())
             self.count(server, 1)
         many = max(len(change.joined), len(change.left)) * PIECEWISE > len(self.arms)
-        whole = many or change.moved or len(self.arms) <= SCAN_MOST
+        # A list that comes in pieces is a long one: each is followed server by server.
+        whole = change.moved or not self.arms or (not pieces and (many or len(self.arms) <= SCAN_MOST))
         for server in change.left:
             self._leave(server, whole)
         if whole:
@@ -114,6 +98,8 @@
             self.note(server)
         self._choose_home()
         self._scans = float(len(self.arms))
+        if not event.more:
+            self.automaton.newcomers.begin(len(self.arms))
 
     def _weight(self, server: Server) -> float:
         hint = server.entry.capacity_hint if self._settings.capacity_hints else 1.0
--- a/leadrudder/weights.py
+++ b/leadrudder/weights.py
@@ -290,6 +290,32 @@
         self.all_times(1.0 - part, part * mean)
 
 
+class Newcomers:
+    """What those that join count against those that were there, so that all of one list stand alike.
+
+    part: of the mean share of those that were there, for a newcomer of weight 1.
+    """
+
+    __slots__ = ("_part", "_settled", "_weight")
+
+    def __init__(self, part: float) -> None:
+        self._part = part
+        self.begin(0)
+
+    def begin(self, settled: int, weight: float = 0.0) -> None:
+        """So many were there before, and newcomers of this weight have joined."""
+        self._settled, self._weight = settled, self._part * weight
+
+    def leave(self) -> None:
+        """One of those that were there goes."""
+        self._settled = max(0, self._settled - 1)
+
+    def share(self, weight: float) -> float:
+        """Of one more newcomer, while all others keep their ratios."""
+        self._weight += self._part * weight
+        return self._part * weight / (self._settled + self._weight)
+
+
 def floored(ratios: Sequence[float], floor: float) -> list[float]:
     """Shares that sum to 1 and keep the ratios of all that stand above the floor (less than the mean)."""
     n = len(ratios)
--- a/tests/simulation/plants.py
+++ b/tests/simulation/plants.py
@@ -27,7 +27,7 @@
     Settings,
     TimerFired,
 )
-from leadrudder.node import discovery, servers
+from leadrudder.node import discovery, lists, servers
 from leadrudder.node.callers import Callers, Exchange
 from leadrudder.node.http import Message, Reader
 from leadrudder.node.node import Node
@@ -59,7 +59,7 @@
 
 def drains_overlooked(patch: pytest.MonkeyPatch) -> None:
     """A draining server counts as ready."""
-    patch.setitem(discovery._LIFECYCLES, "DRAINING", Readiness.READY)
+    patch.setitem(lists._LIFECYCLES, "DRAINING", Readiness.READY)
 
 
 def group_forgotten(patch: pytest.MonkeyPatch) -> None:
--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from leadrudder.node.config import Config, Limits, flat
-from leadrudder.node.discovery import Naming
+from leadrudder.node.lists import Naming
 from leadrudder.node.node import Node
 from leadrudder.node.routes import Route
 from leadrudder.settings import read_settings
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,7 +11,7 @@
 
 from leadrudder.interface import Effect, ListKind, Readiness
 from leadrudder.node.config import ConfigError, load
-from leadrudder.node.discovery import ListError, Naming
+from leadrudder.node.lists import ListError, Naming
 from leadrudder.node.node import Clock
 from tests.stubs import listing, row, settings
 
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,312 @@
+"""Long lists of servers: read in slices, followed by what they change, in pieces; and a node that goes on."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from leadrudder import Balancer
+from leadrudder.interface import ListKind, Readiness, RequestClass, ServerList, Settings
+from leadrudder.node.lists import SLICE, Book, ListError, Listing, Naming, finished, members
+from leadrudder.node.node import Node
+from tests.stubs import StubServer, listing, reply, row, run, tell, world
+
+NAMING = Naming(("hall",), ("std",))
+
+
+def rows(names: range, port: int = 1, lifecycle: str = "SERVING") -> list[dict[str, Any]]:
+    return [row(f"s{n}", f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:{port}", lifecycle) for n in names]
+
+
+def read(version: int, *of: dict[str, Any], whole: bool = True) -> Listing:
+    return NAMING.read(listing(version, *of, reset=whole))
+
+
+# ---------------------------------------------------------------- reading
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner, max_size=3),
+    max_leaves=12,
+)
+
+
+@given(
+    st.dictionaries(st.text(max_size=4).filter(lambda key: key != "instances"), VALUES, max_size=4),
+    st.lists(VALUES, max_size=4),
+    st.sampled_from([None, 1, "\t"]),
+    st.booleans(),
+)
+def test_an_object_read_member_by_member_is_what_the_library_reads(
+    others: dict[str, Any], items: list[Any], indent: Any, first: bool
+) -> None:
+    raw = {"instances": items, **others} if first else {**others, "instances": items}
+    told = list(members(json.dumps(raw, indent=indent)))
+    assert [value for key, value in told if key == "instances"] == items
+    assert {key: value for key, value in told if key != "instances"} == others
+
+
+@given(st.text(alphabet='{}[],:"instace1 \n', max_size=40))
+def test_what_the_library_does_not_read_is_not_read_here(text: str) -> None:
+    """And whatever is read here is an object with the array, as the library reads it."""
+    try:
+        told = list(members(text))
+    except (ValueError, KeyError):
+        return
+    raw = json.loads(text)
+    assert isinstance(raw, dict)
+    assert {key for key, _ in told} <= set(raw)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "[]",
+        "{",
+        '{"generation": 1, "reset": true}',
+        '{"generation": 1, "reset": true, "instances": {}}',
+        '{"generation": 1, "reset": true, "instances": []',
+        '{"generation": 1, "reset": true, "instances": [] } {}',
+        '{"generation": 1, "reset": true, "instances": [,]}',
+        '{"generation": 1, "reset": true, "instances": [],}',
+        '{"generation": 1, "reset": true, "instances": [{}]}',
+        '{"generation": 1 "reset": true, "instances": []}',
+        '{1: 1, "instances": []}',
+        '{"instances": [], "reset": true}',
+        '{"generation": 1, "reset": true, "instances": ' + "[" * 100_000,
+    ],
+)
+def test_a_text_that_is_no_list_is_an_error_of_its_own(text: str) -> None:
+    with pytest.raises(ListError):
+        finished(NAMING.read_text(text))
+
+
+def test_a_long_list_is_read_in_slices_and_comes_to_the_same() -> None:
+    raw = listing(7, *rows(range(3 * SLICE + 1)))
+    slices = NAMING.read_text(json.dumps(raw))
+    stops = 0
+    while True:
+        try:
+            next(slices)
+            stops += 1
+        except StopIteration as end:
+            assert end.value == NAMING.read(raw)
+            break
+    assert stops == 3
+
+
+# ---------------------------------------------------------------- pieces
+
+
+def handed(book: Book, told: Listing) -> list[Listing]:
+    return [piece for piece in book.pieces(told) if piece is not None]
+
+
+def test_a_short_list_is_handed_on_as_it_came() -> None:
+    book, told = Book(), read(1, *rows(range(5)))
+    assert handed(book, told) == [told]
+    drained = read(2, *rows(range(1), lifecycle="DRAINING"), whole=False)
+    assert handed(book, drained) == [drained]
+
+
+def test_a_long_list_comes_in_pieces_and_what_has_gone_comes_first() -> None:
+    book = Book()
+    first = handed(book, read(1, *rows(range(1000))))
+    assert [len(piece.entries) for piece in first] == [SLICE] * 5
+    assert [piece.more for piece in first] == [True] * 4 + [False]
+    second = handed(book, read(2, *rows(range(500, 990)), *rows(range(990, 1100), port=2)))
+    told = [(entry.server, entry.readiness) for piece in second for entry in piece.entries]
+    gone = [server for server, readiness in told if readiness is Readiness.GONE]
+    assert gone == [b"s%d" % n for n in range(500)]
+    assert [server for server, _ in told[500:]] == [b"s%d" % n for n in range(990, 1100)]
+    assert second[-1].addresses[b"s1099"][1] == 2
+
+
+def test_a_long_list_without_news_is_handed_on_as_an_empty_one() -> None:
+    book = Book()
+    handed(book, read(1, *rows(range(1000))))
+    (piece,) = handed(book, read(2, *rows(range(1000))))
+    assert (piece.entries, piece.more, piece.version) == ((), False, 2)
+
+
+def test_a_server_that_was_left_out_is_told_again() -> None:
+    """Two servers at one address: the older one is taken back, and may be the one that lives."""
+    book = Book()
+    handed(book, read(1, *rows(range(1000))))
+    book.forget(b"s7")
+    (piece,) = handed(book, read(2, *rows(range(1000))))
+    assert [entry.server for entry in piece.entries] == [b"s7"]
+
+
+LISTS = st.lists(
+    st.tuples(st.booleans(), st.lists(st.tuples(st.integers(0, 900), st.integers(0, 3)), max_size=12)),
+    max_size=6,
+)
+
+
+@given(LISTS)
+def test_pieces_lead_where_the_lists_lead(changes: list[tuple[bool, list[tuple[int, int]]]]) -> None:
+    """Whatever comes, who follows the pieces knows the same servers as who follows the lists."""
+    book = Book()
+    plain: dict[bytes, tuple[object, object]] = {}
+    followed: dict[bytes, tuple[object, object]] = {}
+
+    def follow(known: dict[bytes, tuple[object, object]], told: Listing) -> None:
+        if told.whole:
+            known.clear()
+        for entry in told.entries:
+            if entry.readiness is Readiness.READY:
+                known[entry.server] = entry, told.addresses[entry.server]
+            else:
+                known.pop(entry.server, None)
+
+    states = ("SERVING", "DRAINING", "DELETED", "SERVING")
+    base = {f"s{n}": r for n, r in enumerate(rows(range(600)))}
+    for version, (whole, edits) in enumerate([(True, []), *changes]):
+        edited = {
+            f"s{n}": rows(range(n, n + 1), port=1 + how // 3, lifecycle=states[how])[0] for n, how in edits
+        }
+        told = read(version, *({**base, **edited}.values() if whole else edited.values()), whole=whole)
+        follow(plain, told)
+        pieces = handed(book, told)
+        assert all(len(piece.entries) <= SLICE or piece is told for piece in pieces)
+        assert [piece.more for piece in pieces] == [True] * (len(pieces) - 1) + [False]
+        for piece in pieces:
+            follow(followed, piece)
+        assert followed == plain
+
+
+# ---------------------------------------------------------------- the module
+
+
+def feed(balancer: Balancer, pieces: Iterator[Listing | None], now: float = 1.0) -> None:
+    for piece in pieces:
+        if piece is not None:
+            balancer.handle(piece.event(), now)
+
+
+def test_newcomers_of_one_list_stand_alike_however_it_was_cut() -> None:
+    """Each counted against all that were there, the first of ten thousand got twelve times the last one's
+    share."""
+    settings = Settings(classes=(RequestClass("r", 1000, 3000),))
+    book, balancer = Book(), Balancer(settings, seed=1)
+    feed(balancer, book.pieces(read(1, *rows(range(1000)))))
+    p = balancer.automaton.p
+    assert len(p) == 1000 and max(p) - min(p) < 1e-12 and sum(p) == pytest.approx(1.0)
+    feed(balancer, book.pieces(read(2, *rows(range(3000)))))
+    shares = dict(zip(balancer.automaton.servers, balancer.automaton.p, strict=True))
+    old = [shares[b"s%d" % n] for n in range(1000)]
+    new = [shares[b"s%d" % n] for n in range(1000, 3000)]
+    assert max(old) - min(old) < 1e-12 and max(new) - min(new) < 1e-12
+    assert 0.45 < new[0] / old[0] < 0.75  # half the mean share, and the floor's pull
+    assert sum(shares.values()) == pytest.approx(1.0)
+
+
+def test_a_list_in_pieces_costs_the_module_by_the_piece() -> None:
+    """Counted in nodes of the tree that are touched: no piece sums the whole fleet anew."""
+    settings = Settings(classes=(RequestClass("r", 1000, 3000),))
+    book, balancer = Book(), Balancer(settings, seed=1)
+    feed(balancer, book.pieces(read(1, *rows(range(4000)))))
+    steps = [sum(weights.steps for weights in balancer.automaton.shares.groups)]
+    for piece in book.pieces(read(2, *rows(range(2000, 6000)))):
+        if piece is not None:
+            balancer.handle(piece.event(), 2.0)
+            steps.append(sum(weights.steps for weights in balancer.automaton.shares.groups))
+    assert len(steps) == 1 + 20
+    assert max(b - a for a, b in zip(steps, steps[1:], strict=False)) < SLICE * 8 * 13
+    assert len(balancer.automaton.servers) == 4000
+
+
+# ---------------------------------------------------------------- the node
+
+
+async def _until(condition: Any) -> None:
+    while not condition():
+        await asyncio.sleep(0)
+
+
+def _listed(node: Node) -> int:
+    return len(node._servers._peers)
+
+
+def test_a_node_goes_on_while_it_reads_a_long_list() -> None:
+    """Requests are answered between the slices, and lines behind the long one wait their turn."""
+
+    async def main() -> None:
+        async with StubServer([reply("200 OK")]) as server, world(known=False, registryMode="pushed") as w:
+            watch = await w.discovery.watch()
+            tell(watch, listing(1, row("live", server.address)))
+            await _until(lambda: _listed(w.node) == 1)
+            turns = 0
+            answered_between = False
+            caller = await w.caller()
+            many = rows(range(3000), port=9)
+            for r in many:
+                r["startedAtMs"] = 0
+            tell(watch, listing(2, *many, row("live", server.address)))
+            tell(watch, listing(3, *rows(range(1)), row("live", server.address, "DRAINING"), reset=False))
+            await _until(lambda: _listed(w.node) > 1)
+            while w.node._discovery._version < 3:
+                turns += 1
+                if turns == 1:
+                    answered_between = (await caller.ask(target="/ready")).status == 200
+                await asyncio.sleep(0)
+            assert turns > 1 and answered_between
+            assert _listed(w.node) == 3000 and b"live" not in w.node._servers._peers
+
+    run(main())
+
+
+def test_a_long_list_is_followed_though_its_watch_ends_behind_it() -> None:
+    async def main() -> None:
+        async with world(known=False, registryMode="pushed") as w:
+            watch = await w.discovery.watch()
+            tell(watch, listing(5, *rows(range(3000))))
+            watch.close()
+            await _until(lambda: w.node._discovery._version == 5)
+            assert _listed(w.node) == 3000
+
+    run(main())
+
+
+def test_a_long_line_that_is_no_list_changes_nothing_and_the_watch_is_made_anew() -> None:
+    async def main() -> None:
+        async with world(known=False, registryMode="pushed") as w:
+            events: list[ServerList] = []
+            handle = w.node._balancer.handle
+
+            def noted(event: Any, now: float) -> Any:
+                if isinstance(event, ServerList):
+                    events.append(event)
+                return handle(event, now)
+
+            w.node._balancer.handle = noted  # type: ignore[method-assign]
+            watch = await w.discovery.watch()
+            text = json.dumps(listing(5, *rows(range(3000)))).encode()
+            tell(watch, text[:-1] + b"]")
+            again = await w.discovery.watch()
+            assert _listed(w.node) == 0 and not events
+            tell(again, listing(6, *rows(range(3000))))
+            await _until(lambda: w.node._discovery._version == 6)
+            assert _listed(w.node) == 3000
+            assert {event.kind for event in events} == {ListKind.CHANGES}
+
+    run(main())
+
+
+def test_a_node_that_ends_while_it_reads_leaves_nothing_behind() -> None:
+    async def main() -> None:
+        async with world(known=False, registryMode="pushed") as w:
+            watch = await w.discovery.watch()
+            tell(watch, listing(5, *rows(range(3000))))
+            await _until(lambda: w.node._discovery._reading is not None)
+        assert w.node._discovery._reading is None and w.node._discovery._version == 0
+
+    run(main())
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -12,8 +12,8 @@
 import pytest
 
 from leadrudder.interface import Outcome
-from leadrudder.node.discovery import Naming
 from leadrudder.node.http import Message
+from leadrudder.node.lists import Naming
 from leadrudder.node.servers import Call, Servers
 from tests.stubs import HOST, PATIENCE_S, Behaviour, StubServer, listing, raw, reply, reset, row, run, silent
 
