--- a/leadrudder/listed.py
+++ b/leadrudder/listed.py
@@ -60,8 +60,8 @@
             server.heard = now
         old, server.entry = server.entry, entry
         if server.listed and old != entry:
-            change.moved |= (old.kind, old.zone) != (entry.kind, entry.zone)
-            change.moved |= old.capacity_hint != entry.capacity_hint
+            placed = (old.kind, old.zone) == (entry.kind, entry.zone)
+            change.moved = change.moved or not placed or old.capacity_hint != entry.capacity_hint
             change.changed.append(server)
         if entry.readiness is not Readiness.READY:
             self._unlist(server, change)
--- a/leadrudder/policy/placement.py
+++ b/leadrudder/policy/placement.py
@@ -13,9 +13,10 @@
 from leadrudder.estimators import Rate
 from leadrudder.interface import Effect, ServerId, ServerList, Settings
 from leadrudder.listed import Listed
+from leadrudder.looks import Look
 from leadrudder.policy.attempts import permitted
 from leadrudder.policy.automaton import Automaton
-from leadrudder.records import Look, Server, Turn
+from leadrudder.records import Server, Turn
 from leadrudder.rings import Rings
 
 EJECT_MOST = 0.34  # part of the fleet that may be out at once
--- a/leadrudder/records.py
+++ b/leadrudder/records.py
@@ -5,12 +5,8 @@
 import math
 from dataclasses import dataclass, field
 from random import Random
-from typing import TYPE_CHECKING
 
-from leadrudder.interface import Action, Log, RequestId, ServerEntry, ServerId
-
-if TYPE_CHECKING:
-    from leadrudder.policy.attempts import Request
+from leadrudder.interface import Action, Log, RequestId, ServerEntry
 
 
 @dataclass(slots=True)
@@ -69,21 +65,3 @@
         self.fail, self.strikes, self.ejected, self.trial = 0.0, 0, False, False
         self.classes = [ClassHealth(out=health.out) for health in self.classes]
         self.tokens, self.tokens_at = token, now
-
-
-@dataclass(slots=True)
-class Look:
-    """What is the same for all servers while one is drawn for a request."""
-
-    request: Request
-    mean: float  # of all averages
-    calm: float  # the calmest mean latency
-    total: int  # calls out
-    late: float  # what an attempt may take before it is late
-    flow: float | None = None  # to a warm server; counted once, and only if a server is cold
-    risky: bool = field(init=False)
-    tried: set[ServerId] = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.risky = self.request.risky() is not None
-        self.tried = {a.entry.server for a in self.request.attempts}
--- a/tests/test_compiled.py
+++ b/tests/test_compiled.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from leadrudder import compiled
+from leadrudder import compile, compiled
 
 ROOT = Path(__file__).parent.parent
 
@@ -34,7 +34,7 @@
 def test_the_compiled_decisions_are_those_of_the_sources_to_the_last_digit() -> None:
     if shutil.which("cc") is None and shutil.which("gcc") is None:
         pytest.skip("no compiler: the sources are interpreted here")
-    assert "compiled" in compiled.build().split(":")[0]
+    assert "compiled" in compile.build().split(":")[0]
     interpreted, of_compiled = play()
     assert not interpreted, "what was built is not used"
     pure, of_sources = play(**{compiled.PURE: "1"})
@@ -48,7 +48,7 @@
     folder = tmp_path / "kept"
     folder.mkdir()
     (folder / "stamp").write_text(compiled.stamp())
-    (folder / "0__mypyc.so").write_bytes(b"no library")
+    (folder / "0__mypyc.any.so").write_bytes(b"no library")
     return folder
 
 
@@ -80,10 +80,10 @@
     def broken(scratch: Path) -> None:
         raise OSError("no compiler")
 
-    monkeypatch.setattr(compiled, "_compile", broken)
-    assert compiled.build(kept).startswith("compiled modules are up to date")
+    monkeypatch.setattr(compile, "_compile", broken)
+    assert compile.build(kept).startswith("compiled modules are up to date")
     (kept / "stamp").write_text("other")
-    assert compiled.build(kept) == "not compiled, the sources are interpreted: OSError: no compiler"
+    assert compile.build(kept) == "not compiled, the sources are interpreted: OSError: no compiler"
     assert (kept / "stamp").read_text() == "other"
     assert [path.name for path in kept.parent.iterdir()] == ["kept"]
 
