--- a/leadrudder/compiled.py
+++ b/leadrudder/compiled.py
@@ -1,8 +1,8 @@
 """The decisions compiled to machine code by mypyc, where that was built from the sources as they stand.
 
-leadrudder/compile.py puts the modules named here into a folder of the interpreter's own environment (a virtual
-environment's, as a rule).  Where there are none, where a source has changed since, or where the environment
-variable LEADRUDDER_PURE is set, the sources are interpreted: the same code, some five times slower.
+leadrudder/compile.py puts the modules named here into a folder of the interpreter's own environment (a
+virtual environment's, as a rule).  Where there are none, where a source has changed since, or where the
+environment variable LEADRUDDER_PURE is set, the sources are interpreted: the same code, five times slower.
 """
 
 from __future__ import annotations
