A contract between the core, its fronts and its upstreams; HTTP/1.1 moved onto it

Need: MessagePack-RPC and what comes after it must go through one request table, one answering, one outcome logic. leadrudder/node/contract.py has what a front gives (Ask, Exchange) and what an upstream tells (Done, Answer). No change of behaviour: the tests of the node pass as they were.

--- a/leadrudder/node/callers.py
+++ b/leadrudder/node/callers.py
@@ -7,13 +7,14 @@
 import re
 from collections import deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from hashlib import blake2b
 from typing import cast
 
 from leadrudder.interface import Effect, Settings
+from leadrudder.node.contract import Answer, Ask, DuplicateId, Exchange, HttpCall
 from leadrudder.node.http import (
     CLASS,
+    CONTENT_TYPE,
     COST_HINT,
     DEADLINE,
     IDEMPOTENCY_KEY,
@@ -54,20 +55,7 @@
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")  # float() takes far more than the protocol has
 
 
-@dataclass(frozen=True, slots=True)
-class Ask:
-    """A valid request in the terms of the settings."""
-
-    message: Message
-    class_index: int
-    tenant: int
-    key: int
-    budget_ms: float
-    cost_hint_ms: float | None
-    is_repeat: bool
-
-
-class Exchange:
+class HttpExchange:
     """One request of a caller's and the place of its one answer."""
 
     __slots__ = ("_connection", "close", "gone", "on_gone", "output", "size")
@@ -90,6 +78,22 @@
         self.output = answer(status, body, extra, close=self.close)
         self._connection.flush()
 
+    # What the core tells.
+
+    def served(self, answer: Answer) -> None:
+        kind = answer.content_type
+        self.answer(200, answer.body, b"Content-Type: %s\r\n" % kind if kind else b"")
+
+    def refused(self, retry_after_ms: float) -> None:
+        after = b"Retry-After: %.3f\r\n" % (retry_after_ms / 1000.0) if retry_after_ms else b""
+        self.answer(503, extra=after)
+
+    def failed(self) -> None:
+        self.answer(502)
+
+    def fault(self) -> None:
+        self.answer(500)
+
 
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller's; answers go out in the order of the requests."""
@@ -101,7 +105,7 @@
         self._usual = False  # it has brought a request that was taken
         self._reader = Reader(self._on_request, requests=True)
         self._transport: asyncio.Transport | None = None
-        self._exchanges: deque[Exchange] = deque()
+        self._exchanges: deque[HttpExchange] = deque()
         self._deaf = False  # its last request has come: what follows is not read
         self._over = False  # it has had its last answer
         self._choked = False  # the caller does not read what it gets
@@ -116,7 +120,7 @@
         """Between requests: may be closed, as the caller sends a crossing request anew."""
         return not self._exchanges and not self._reader.within and not self._over
 
-    def is_last(self, exchange: Exchange) -> bool:
+    def is_last(self, exchange: HttpExchange) -> bool:
         return bool(self._exchanges) and self._exchanges[-1] is exchange
 
     def owes(self) -> bool:
@@ -177,7 +181,7 @@
         self._pace()
 
     def _on_request(self, message: Message) -> None:
-        exchange = Exchange(self, not message.keep_alive)
+        exchange = HttpExchange(self, not message.keep_alive)
         self._exchanges.append(exchange)
         if exchange.close:
             self._stop_reading()
@@ -198,7 +202,7 @@
         if self._over:
             return
         self._leave()
-        exchange = Exchange(self, True)
+        exchange = HttpExchange(self, True)
         self._exchanges.append(exchange)
         exchange.answer(status)
 
@@ -308,6 +312,12 @@
         self._classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
         self._routes = routes
         self._tenants = {t.name.encode(): i for i, t in enumerate(settings.tenants)}
+        self._required = [
+            REQUEST_ID,
+            DEADLINE,
+            *([] if routes else [CLASS]),
+            *([TENANT] if self._tenants else []),
+        ]
         self._take = take
         self._ready = ready
         self._most = most
@@ -343,7 +353,7 @@
         """More connections than the limit, and none idle to close: what comes now is refused."""
         return len(self._open) > self._most
 
-    def release(self, exchange: Exchange) -> None:
+    def release(self, exchange: HttpExchange) -> None:
         """The body of a request that is over no longer counts."""
         self._bytes -= exchange.size
         exchange.size = 0
@@ -388,7 +398,7 @@
 
     # Requests.
 
-    def route(self, message: Message, exchange: Exchange) -> bool:
+    def route(self, message: Message, exchange: HttpExchange) -> bool:
         """Take one whole request and tell whether it is one for the servers; MessageError if it is none that
         a node serves."""
         self.last_heard = self.now()
@@ -407,18 +417,15 @@
             return True
         exchange.size = len(message.body)
         self._bytes += exchange.size
-        self._take(ask, exchange)
+        try:
+            self._take(ask, exchange)
+        except DuplicateId as error:
+            raise MessageError(409, str(error)) from None
         return True
 
     def _ask(self, message: Message, path: bytes) -> Ask:
         headers = message.headers
-        required = [
-            REQUEST_ID,
-            DEADLINE,
-            *([] if self._routes else [CLASS]),
-            *([TENANT] if self._tenants else []),
-        ]
-        for name in required:
+        for name in self._required:
             if not headers.get(name) or name in message.repeated:
                 raise MessageError(400, f"{name.decode()} is missing or repeated")
         if not TOKEN.fullmatch(headers[REQUEST_ID]):
@@ -431,13 +438,20 @@
         hint = headers.get(COST_HINT)
         item = path.removeprefix(b"/api").removeprefix(b"/")
         return Ask(
-            message=message,
+            id=headers[REQUEST_ID],
             class_index=class_index,
             tenant=tenant,
             key=int.from_bytes(blake2b(item, digest_size=8).digest(), "big") if item else 0,
             budget_ms=1000.0 * _number(headers[DEADLINE], "deadline", LONGEST_DEADLINE_S),
             cost_hint_ms=_hint_ms(hint),
             is_repeat=headers.get(RETRY) == b"1",
+            call=HttpCall(
+                message.method,
+                message.start,
+                headers.get(IDEMPOTENCY_KEY),
+                headers.get(CONTENT_TYPE),
+                message.body,
+            ),
         )
 
     def _class_index(self, message: Message, path: bytes) -> int | None:
--- /dev/null
+++ b/leadrudder/node/contract.py
@@ -0,0 +1,128 @@
+"""What the core of a node, its fronts and its upstreams owe each other, whatever protocol they speak.
+
+A front reads a caller's request, says what it is (Ask), and gives the core a place for its one answer
+(Exchange). The core decides by the decision module alone, and hands each attempt to the node's upstream,
+which says once how it ended (Done): an Outcome, which tells whether the request was written and whether it
+may have run, and for one that was served what the server answered. Nobody else keeps a table of requests,
+answers a caller, or repeats anything.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from leadrudder.interface import Outcome, ServerId
+from leadrudder.node.lists import Listing
+
+
+class DuplicateId(Exception):  # noqa: N818 - it names what is wrong with a request
+    """A request with this id is open, or an attempt of it is out: servers could not tell the two apart."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """A request of an HTTP caller's, as it is passed on."""
+
+    method: bytes
+    target: bytes
+    key: bytes | None = None  # its Idempotency-Key
+    content_type: bytes | None = None
+    body: bytes = b""
+
+    @property
+    def size(self) -> int:
+        """Bytes that are held while it is open."""
+        return len(self.body)
+
+
+@dataclass(frozen=True, slots=True)
+class RpcCall:
+    """A MessagePack-RPC call, as it is passed on: the parameters in the bytes in which they came."""
+
+    method: str
+    params: bytes  # one MessagePack array
+    notification: bool = False
+
+    @property
+    def size(self) -> int:
+        return len(self.params)
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A valid request in the terms of the settings."""
+
+    id: bytes  # the caller's, passed on unchanged
+    class_index: int
+    tenant: int
+    key: int  # what it is about, 0 for nothing
+    budget_ms: float  # what its caller will wait
+    cost_hint_ms: float | None
+    is_repeat: bool
+    call: HttpCall | RpcCall
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a server answered to a request that it served."""
+
+    body: bytes
+    content_type: bytes | None = None
+    packed: bool = False  # the body is one MessagePack value, as an RPC server gave it
+
+
+class Exchange(Protocol):
+    """The place of a request's one answer.  A second one, and one to a caller that has left, goes nowhere."""
+
+    on_gone: Callable[[], None] | None  # called once if the caller leaves before its answer
+
+    def served(self, answer: Answer) -> None:
+        """A server's answer, unchanged."""
+
+    def refused(self, retry_after_ms: float) -> None:
+        """Not served, and trying again is harmless; 0: no time is told."""
+
+    def failed(self) -> None:
+        """Not served, and nothing is promised."""
+
+    def fault(self) -> None:
+        """The node itself could not deal with it."""
+
+
+class Attempt(Protocol):
+    """An attempt, or a probe, that is out."""
+
+    def give_up(self, outcome: Outcome) -> None:
+        """Stop waiting: it ends now, with this outcome, unless it has ended."""
+
+
+Done = Callable[[Outcome, Answer | None], None]
+
+
+class Upstream(Protocol):
+    """The connections to all servers.  Nothing is ever sent twice by one."""
+
+    def update(self, listing: Listing) -> list[ServerId]:
+        """Follow a list; returns the servers whose address is another's now."""
+
+    def any_listed(self) -> bool: ...
+
+    def open_connections(self) -> int:
+        """How many connections to servers are open."""
+
+    def attempt(self, server: ServerId, ask: Ask, timeout_s: float, done: Done) -> Attempt:
+        """Start one attempt; its outcome comes by done, once, at the earliest after this returns.
+
+        CONNECT_FAILED, MOOT and FULL: the server never ran it.  OK comes with an answer.  All others: it was
+        written, at least in part, and may have run.
+        """
+
+    def probe(self, server: ServerId, timeout_s: float, done: Done) -> Attempt: ...
+
+    def close_idle(self, server: ServerId) -> None:
+        """Close connections to a server on which nothing is out."""
+
+    def close(self) -> None:
+        """Leave nothing open."""
--- a/leadrudder/node/http.py
+++ b/leadrudder/node/http.py
@@ -12,6 +12,8 @@
 
 import httptools
 
+from leadrudder.node.contract import HttpCall
+
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 TOKEN = re.compile(rb"[!-~]{1,256}")  # an id or a key is passed on as it came: nothing but plain characters
@@ -226,16 +228,13 @@
     )
 
 
-def request_head(message: Message, host: bytes) -> bytes:
+def request_head(name: bytes, call: HttpCall, host: bytes) -> bytes:
     """The part of an attempt's head that is the same for each attempt: all but the deadline."""
-    lines = [b"%s %s HTTP/1.1\r\nHost: %s\r\n" % (message.method, message.start, host)]
-    lines.append(b"X-Request-Id: %s\r\n" % message.headers[REQUEST_ID])
-    key = message.headers.get(IDEMPOTENCY_KEY)
-    if key is not None:
-        lines.append(b"Idempotency-Key: %s\r\n" % key)
-    kind = message.headers.get(CONTENT_TYPE)
-    if kind is not None:
-        lines.append(b"Content-Type: %s\r\n" % kind)
-    if message.body or message.method == b"POST":
-        lines.append(b"Content-Length: %d\r\n" % len(message.body))
+    lines = [b"%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n" % (call.method, call.target, host, name)]
+    if call.key is not None:
+        lines.append(b"Idempotency-Key: %s\r\n" % call.key)
+    if call.content_type is not None:
+        lines.append(b"Content-Type: %s\r\n" % call.content_type)
+    if call.body or call.method == b"POST":
+        lines.append(b"Content-Length: %d\r\n" % len(call.body))
     return b"".join(lines)
--- a/leadrudder/node/node.py
+++ b/leadrudder/node/node.py
@@ -40,13 +40,13 @@
     Subscribe,
     TimerFired,
 )
-from leadrudder.node.callers import Ask, Callers, Exchange
+from leadrudder.node.callers import Callers
 from leadrudder.node.config import Config, ConfigError, discovery_anew
+from leadrudder.node.contract import Answer, Ask, Attempt, DuplicateId, Exchange, Upstream
 from leadrudder.node.discovery import Discovery
-from leadrudder.node.http import CONTENT_TYPE, REQUEST_ID, Message, MessageError, request_head
 from leadrudder.node.lists import Listing
 from leadrudder.node.platform import SYSTEM, Platform
-from leadrudder.node.servers import Call, Servers
+from leadrudder.node.servers import Servers
 from leadrudder.policy.decide import Balancer
 
 log = logging.getLogger(__name__)
@@ -84,18 +84,19 @@
 class Pending:
     """A request that a caller waits for."""
 
-    message: Message
+    ask: Ask
     exchange: Exchange
     deadline: float
     timer: TimerHandle
-    head: bytes
     attempts: int = 0
 
 
 class Node:
     """One real node."""
 
-    def __init__(self, config: Config, platform: Platform = SYSTEM) -> None:
+    def __init__(
+        self, config: Config, platform: Platform = SYSTEM, *, upstream: Upstream | None = None
+    ) -> None:
         settings = config.settings
         self._platform = platform
         self._config = config
@@ -116,23 +117,23 @@
         self._events: deque[Event] = deque()
         self._handling = False
         self._requests: dict[RequestId, Pending] = {}
-        self._calls: dict[tuple[RequestId, int], Call] = {}  # also those of finished requests
+        self._calls: dict[tuple[RequestId, int], Attempt] = {}  # also those of finished requests
         self._struck: dict[RequestId, Pending] = {}  # finished, and the module may not know yet
         self._held: dict[bytes, int] = {}  # callers' ids: open requests and attempts that are out
         self._last_id = 0
-        self._host = b"%s:%d" % (config.listen[0].encode(), config.listen[1])
         self._terminated_at: float | None = None
         self._done = asyncio.Event()
         sockets = config.limits.sockets
-        self._servers = Servers(
+        self._servers: Upstream = upstream or Servers(
             connect_s=settings.connect_timeout_ms / 1000.0,
             idle_s=config.conn_idle_ms / 1000.0,
             most_open=int(SERVERS_PART * sockets),
+            host=b"%s:%d" % (config.listen[0].encode(), config.listen[1]),
             platform=platform,
         )
         self._callers = Callers(
             settings,
-            self._take,
+            self.take,
             self._servers.any_listed,
             most=int(CALLERS_PART * sockets),
             most_bytes=int(BODIES_PART * config.limits.memory_mb * 1_000_000),
@@ -215,11 +216,14 @@
         self._loop.call_later(delay, self._post, TimerFired(action.token))
 
     def _on_refuse(self, action: Refuse) -> None:
-        after = action.retry_after_ms
-        self._finish(action.request, 503, extra=b"Retry-After: %.3f\r\n" % (after / 1000.0) if after else b"")
+        pending = self._close(action.request)
+        if pending is not None:
+            pending.exchange.refused(action.retry_after_ms)
 
     def _on_fail(self, action: Fail) -> None:
-        self._finish(action.request, 502)
+        pending = self._close(action.request)
+        if pending is not None:
+            pending.exchange.failed()
 
     def _on_cancel(self, action: Cancel) -> None:
         call = self._calls.get((action.request, action.attempt))
@@ -240,12 +244,12 @@
 
     # ------------------------------------------------------------ requests
 
-    def _take(self, ask: Ask, exchange: Exchange) -> None:
-        """A valid request of a caller's: from here on it is owed one answer."""
-        name = ask.message.headers[REQUEST_ID]
+    def take(self, ask: Ask, exchange: Exchange) -> None:
+        """A valid request from a front: from here on it is owed one answer; DuplicateId if it is not."""
+        name = ask.id
         if name in self._held:
             # A server could not tell the two apart, and what it has of one would count for the other.
-            raise MessageError(409, "a request with this id is open")
+            raise DuplicateId("a request with this id is open")
         self._held[name] = 1
         now = self._clock.now()
         self._last_id += 1
@@ -255,11 +259,10 @@
             budget = min(budget, 1000.0 * (self._terminated_at + LAST_S - self._platform.monotonic()))
         budget = max(1.0, budget - min(RESERVE_MS, RESERVE_MOST * budget))
         self._requests[request] = Pending(
-            ask.message,
+            ask,
             exchange,
             now + budget,
             self._loop.call_later((budget + GUARD_MS) / 1000.0, self._overdue, request),
-            request_head(ask.message, self._host),
         )
         exchange.on_gone = lambda: self._gone(request)
         self._post(
@@ -280,7 +283,7 @@
         if pending is not None:
             pending.timer.cancel()
             pending.exchange.on_gone = None
-            self._let_go(pending.message.headers[REQUEST_ID])
+            self._let_go(pending.ask.id)
             if self._handling:
                 self._struck[request] = pending
         return pending
@@ -291,11 +294,6 @@
         if not self._held[name]:
             del self._held[name]
 
-    def _finish(self, request: RequestId, status: int, body: bytes = b"", extra: bytes = b"") -> None:
-        pending = self._close(request)
-        if pending is not None:
-            pending.exchange.answer(status, body, extra)
-
     def _gone(self, request: RequestId) -> None:
         if self._close(request) is not None:
             self._post(RequestGone(request))
@@ -306,8 +304,9 @@
         self._answer_fault(request)
 
     def _answer_fault(self, request: RequestId) -> None:
-        if request in self._requests:
-            self._finish(request, 500)
+        pending = self._close(request)
+        if pending is not None:
+            pending.exchange.fault()
             self._post(RequestGone(request))
 
     # ------------------------------------------------------------ attempts
@@ -329,18 +328,14 @@
             return
         timeout = min(action.timeout_ms, left) if action.timeout_ms > 0 else left
         sent = self._clock.now()
-        head, body = pending.head, pending.message.body
-        name = pending.message.headers[REQUEST_ID]
-
-        def render(seconds: float) -> bytes:
-            return b"%sX-Deadline: %.3f\r\n\r\n%s" % (head, seconds, body)
+        name = pending.ask.id
 
-        def done(outcome: Outcome, answer: Message | None) -> None:
+        def done(outcome: Outcome, answer: Answer | None) -> None:
             self._let_go(name)
             self._ended(request, number, server, sent, outcome, answer)
 
         self._held[name] += 1
-        self._calls[request, number] = self._servers.call(server, render, timeout / 1000.0, done)
+        self._calls[request, number] = self._servers.attempt(server, pending.ask, timeout / 1000.0, done)
 
     def _ended(
         self,
@@ -349,24 +344,22 @@
         server: ServerId,
         sent: float,
         outcome: Outcome,
-        answer: Message | None,
+        answer: Answer | None,
     ) -> None:
         self._calls.pop((request, number), None)
-        if outcome is Outcome.OK and answer is not None:
-            kind = answer.headers.get(CONTENT_TYPE)
-            self._finish(request, 200, answer.body, b"Content-Type: %s\r\n" % kind if kind else b"")
+        if outcome is Outcome.OK and answer is not None and (pending := self._close(request)) is not None:
+            pending.exchange.served(answer)
         elapsed = self._clock.now() - sent
         finished = request not in self._requests
         self._post(AttemptEnded(request, number, server, outcome, elapsed, finished))
 
     def _probe(self, server: ServerId) -> None:
         sent = self._clock.now()
-        text = b"GET /health HTTP/1.1\r\nHost: %s\r\n\r\n" % self._host
 
-        def done(outcome: Outcome, _: Message | None) -> None:
+        def done(outcome: Outcome, _: Answer | None) -> None:
             self._post(ProbeEnded(server, outcome, self._clock.now() - sent))
 
-        self._servers.call(server, lambda _: text, PROBE_MS / 1000.0, done)
+        self._servers.probe(server, PROBE_MS / 1000.0, done)
 
     # ------------------------------------------------------------ the list
 
--- a/leadrudder/node/servers.py
+++ b/leadrudder/node/servers.py
@@ -13,7 +13,9 @@
 from typing import cast
 
 from leadrudder.interface import Outcome, Readiness, ServerId
-from leadrudder.node.http import NOT_RUN, Message, MessageError, Reader
+from leadrudder.node import contract
+from leadrudder.node.contract import Answer, Ask, HttpCall
+from leadrudder.node.http import CONTENT_TYPE, NOT_RUN, Message, MessageError, Reader, request_head
 from leadrudder.node.lists import Listing
 from leadrudder.node.platform import SYSTEM, Platform
 
@@ -187,13 +189,20 @@
     """All servers that the list has named, and every open connection to them."""
 
     def __init__(
-        self, *, connect_s: float, idle_s: float, most_open: int, platform: Platform = SYSTEM
+        self,
+        *,
+        connect_s: float,
+        idle_s: float,
+        most_open: int,
+        host: bytes = b"",
+        platform: Platform = SYSTEM,
     ) -> None:
         self.platform = platform
         self._loop = asyncio.get_running_loop()
         self._connect_s = connect_s
         self._idle_s = IDLE_PART * idle_s
         self._most_open = most_open
+        self._host = host  # how this node names itself to servers
         self._peers: dict[ServerId, Peer] = {}
         self._by_address: dict[tuple[str, int], ServerId] = {}
         self._doubted: dict[Peer, None] = {}  # those trusted less than usual
@@ -247,8 +256,31 @@
     def any_listed(self) -> bool:
         return bool(self._peers)
 
+    def open_connections(self) -> int:
+        return len(self._open)
+
     # Calls.
 
+    def attempt(self, server: ServerId, ask: Ask, timeout_s: float, done: contract.Done) -> Call:
+        """One attempt of a request, as the contract has it."""
+        assert isinstance(ask.call, HttpCall)
+        head, body = request_head(ask.id, ask.call, self._host), ask.call.body
+
+        def render(seconds: float) -> bytes:
+            return b"%sX-Deadline: %.3f\r\n\r\n%s" % (head, seconds, body)
+
+        def ended(outcome: Outcome, message: Message | None) -> None:
+            if outcome is Outcome.OK and message is not None:
+                done(outcome, Answer(message.body, message.headers.get(CONTENT_TYPE)))
+            else:
+                done(outcome, None)
+
+        return self.call(server, render, timeout_s, ended)
+
+    def probe(self, server: ServerId, timeout_s: float, done: contract.Done) -> Call:
+        text = b"GET /health HTTP/1.1\r\nHost: %s\r\n\r\n" % self._host
+        return self.call(server, lambda _: text, timeout_s, lambda outcome, _: done(outcome, None))
+
     def call(self, server: ServerId, render: Render, timeout_s: float, done: Done) -> Call:
         """Start one call; its outcome comes by done, once, at the earliest after this returns."""
         call = Call(render, timeout_s, done)
--- a/leadrudder/simulation/world.py
+++ b/leadrudder/simulation/world.py
@@ -17,7 +17,7 @@
 from random import Random
 from typing import Any
 
-from leadrudder.node.callers import CallerConnection, Exchange
+from leadrudder.node.callers import CallerConnection, HttpExchange
 from leadrudder.node.config import load
 from leadrudder.node.node import Node, Pending
 from leadrudder.node.servers import Call, Connection
@@ -34,7 +34,7 @@
 from leadrudder.simulation.standins.server import Keys, StandInServer
 
 # What a node makes for one request or connection: none is left when all is quiet.
-PASSING = frozenset({Attempt, Call, CallerConnection, Connection, Exchange, Pending, Request})
+PASSING = frozenset({Attempt, Call, CallerConnection, Connection, HttpExchange, Pending, Request})
 EPOCH_S = 1_800_000_000.0  # Unix time at which a world begins
 EPISODE_MS = 10_000  # of virtual time, for which faults are drawn at once
 FAULTS = 14  # in an episode
@@ -415,7 +415,7 @@
                 "waiting requests": len(node._balancer._queue),
                 "bytes of bodies": node._callers._bytes,
                 "callers' connections": len(node._callers._open),
-                "servers' connections": len(node._servers._open),
+                "servers' connections": node._servers.open_connections(),
                 "tasks": max(0, len(loop.tasks()) - 1),  # its main one
                 "timers": max(0, loop.timers - TIMERS_AT_REST),
             }
--- a/tests/simulation/plants.py
+++ b/tests/simulation/plants.py
@@ -27,7 +27,7 @@
     TimerFired,
 )
 from leadrudder.node import discovery, lists, servers
-from leadrudder.node.callers import Callers, Exchange
+from leadrudder.node.callers import Callers, HttpExchange
 from leadrudder.node.http import Message, Reader
 from leadrudder.node.node import Node
 from leadrudder.policy import attempts, decide, placement
@@ -119,20 +119,20 @@
 
 def exchanges_remembered(patch: pytest.MonkeyPatch) -> None:
     """Something outside of all tables keeps what belonged to requests."""
-    original = Exchange.answer
+    original = HttpExchange.answer
 
-    def answer(self: Exchange, status: int, body: bytes = b"", extra: bytes = b"") -> None:
+    def answer(self: HttpExchange, status: int, body: bytes = b"", extra: bytes = b"") -> None:
         self._connection.callers.__dict__.setdefault("kept", []).append(self)
         original(self, status, body, extra)
 
-    patch.setattr(Exchange, "answer", answer)
+    patch.setattr(HttpExchange, "answer", answer)
 
 
 def answered_twice(patch: pytest.MonkeyPatch) -> None:
     """A refusal is written twice."""
-    original = Exchange.answer
+    original = HttpExchange.answer
 
-    def answer(self: Exchange, status: int, body: bytes = b"", extra: bytes = b"") -> None:
+    def answer(self: HttpExchange, status: int, body: bytes = b"", extra: bytes = b"") -> None:
         first = self.output is None and not self.gone
         original(self, status, body, extra)
         if first and status == 503 and self.output is not None:
@@ -140,7 +140,7 @@
             if transport is not None and not self.close:
                 transport.write(self.output)
 
-    patch.setattr(Exchange, "answer", answer)
+    patch.setattr(HttpExchange, "answer", answer)
 
 
 def ends_at_once(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -15,6 +15,7 @@
 from leadrudder.interface import ListKind, Readiness, RequestClass, ServerList, Settings
 from leadrudder.node.lists import SLICE, Book, ListError, Listing, Naming, finished, members
 from leadrudder.node.node import Node
+from leadrudder.node.servers import Servers
 from tests.stubs import StubServer, listing, reply, row, run, tell, world
 
 NAMING = Naming(("hall",), ("std",))
@@ -233,8 +234,13 @@
         await asyncio.sleep(0)
 
 
+def _servers(node: Node) -> Servers:
+    assert isinstance(node._servers, Servers)
+    return node._servers
+
+
 def _listed(node: Node) -> int:
-    return len(node._servers._peers)
+    return len(_servers(node)._peers)
 
 
 def test_a_node_goes_on_while_it_reads_a_long_list() -> None:
@@ -263,7 +269,7 @@
                     answered_between = (await caller.ask(target="/ready")).status == 200
                 await asyncio.sleep(0)
             assert turns > 1 and answered_between
-            assert _listed(w.node) == 3000 and b"live" not in w.node._servers._peers
+            assert _listed(w.node) == 3000 and b"live" not in _servers(w.node)._peers
 
     run(main())
 
