MessagePack-RPC: framing, a front, an upstream and the operator's file, on the node's one core

Need: newer booking tools bypass the node and lose every protection. leadrudder/rpc/ takes their calls through the contract to the one decision module, and hands attempts to RPC servers over few connections with windows; HTTP callers may be served by RPC servers and the other way round.

--- a/leadrudder/__main__.py
+++ b/leadrudder/__main__.py
@@ -15,11 +15,21 @@
 from leadrudder.node.node import Node
 
 
-async def _serve(config: Config) -> None:
-    node = Node(config)
-    # What exists now lives as long as the node: leave it out of every later collection.
-    gc.freeze()
-    await node.start()
+async def _serve(config: Config, rpc: str) -> None:
+    """rpc: the path of the operator's file for MessagePack-RPC; empty: off, and nothing of it is imported."""
+    if rpc:
+        from leadrudder.rpc import attach
+        from leadrudder.rpc.config import RpcConfigError, read
+
+        try:
+            node = await attach.start(config, read(rpc, config.settings))
+        except RpcConfigError as error:
+            raise ConfigError(f"NODE_RPC: {error}") from None
+    else:
+        node = Node(config)
+        # What exists now lives as long as the node: leave it out of every later collection.
+        gc.freeze()
+        await node.start()
     await node.wait()
 
 
@@ -56,7 +66,7 @@
     logging.getLogger().handlers[0].addFilter(_RateLimit())
     try:
         config = load(os.environ)
-        uvloop.run(_serve(config))
+        uvloop.run(_serve(config, os.environ.get("NODE_RPC", "")))
     except ConfigError as error:
         print(f"leadrudder: {error}", file=sys.stderr)
         return 2
--- a/leadrudder/node/contract.py
+++ b/leadrudder/node/contract.py
@@ -44,6 +44,7 @@
     method: str
     params: bytes  # one MessagePack array
     notification: bool = False
+    key: str | None = None  # what its caller told as the key, for servers that take it elsewhere
 
     @property
     def size(self) -> int:
@@ -91,6 +92,21 @@
         """The node itself could not deal with it."""
 
 
+class Front(Protocol):
+    """A side towards callers beside the HTTP one."""
+
+    last_heard: float  # when a connection or a call last came, on the loop's clock
+
+    def wind_down(self) -> None:
+        """The node is ending: take nothing new, and close what is idle."""
+
+    def busy(self) -> bool:
+        """Whether a caller is still owed something."""
+
+    def close(self) -> None:
+        """Leave nothing open."""
+
+
 class Attempt(Protocol):
     """An attempt, or a probe, that is out."""
 
--- a/leadrudder/node/node.py
+++ b/leadrudder/node/node.py
@@ -42,7 +42,7 @@
 )
 from leadrudder.node.callers import Callers
 from leadrudder.node.config import Config, ConfigError, discovery_anew
-from leadrudder.node.contract import Answer, Ask, Attempt, DuplicateId, Exchange, Upstream
+from leadrudder.node.contract import Answer, Ask, Attempt, DuplicateId, Exchange, Front, Upstream
 from leadrudder.node.discovery import Discovery
 from leadrudder.node.lists import Listing
 from leadrudder.node.platform import SYSTEM, Platform
@@ -91,6 +91,17 @@
     attempts: int = 0
 
 
+def http_servers(config: Config, platform: Platform = SYSTEM, kind: type[Servers] = Servers) -> Servers:
+    """The side towards HTTP servers, with this node's part of the descriptors."""
+    return kind(
+        connect_s=config.settings.connect_timeout_ms / 1000.0,
+        idle_s=config.conn_idle_ms / 1000.0,
+        most_open=int(SERVERS_PART * config.limits.sockets),
+        host=b"%s:%d" % (config.listen[0].encode(), config.listen[1]),
+        platform=platform,
+    )
+
+
 class Node:
     """One real node."""
 
@@ -124,13 +135,8 @@
         self._terminated_at: float | None = None
         self._done = asyncio.Event()
         sockets = config.limits.sockets
-        self._servers: Upstream = upstream or Servers(
-            connect_s=settings.connect_timeout_ms / 1000.0,
-            idle_s=config.conn_idle_ms / 1000.0,
-            most_open=int(SERVERS_PART * sockets),
-            host=b"%s:%d" % (config.listen[0].encode(), config.listen[1]),
-            platform=platform,
-        )
+        self._servers: Upstream = upstream or http_servers(config, platform)
+        self._fronts: list[Front] = []  # beside the HTTP one
         self._callers = Callers(
             settings,
             self.take,
@@ -163,6 +169,10 @@
         log.info("node %s listens on %s:%d", self._config.name, host, port)
         return host, port
 
+    def add_front(self, front: Front) -> None:
+        """Another side towards callers; it hands its calls to take, and ends with the node."""
+        self._fronts.append(front)
+
     def stop(self) -> None:
         """End now, whatever is open."""
         self._done.set()
@@ -172,6 +182,8 @@
         await self._done.wait()
         self._discovery.close()
         self._callers.close()
+        for front in self._fronts:
+            front.close()
         self._servers.close()
 
     # ------------------------------------------------------------ events in, actions out
@@ -392,6 +404,8 @@
         self._terminated_at = self._platform.monotonic()
         self._loop.call_later(LAST_S, self._fail_rest)
         self._callers.wind_down()
+        for front in self._fronts:
+            front.wind_down()
         self._loop.call_later(QUIET_S, self._end_when_quiet)
 
     def _fail_rest(self) -> None:
@@ -403,6 +417,7 @@
         assert self._terminated_at is not None
         now = self._platform.monotonic()
         quiet = not self._callers.busy() and now - self._callers.last_heard >= SILENT_S
+        quiet = quiet and not any(front.busy() for front in self._fronts)
         if quiet or now - self._terminated_at > LAST_S + SILENT_S:
             self.stop()
         else:
--- a/leadrudder/node/servers.py
+++ b/leadrudder/node/servers.py
@@ -12,11 +12,12 @@
 from dataclasses import dataclass, field
 from typing import cast
 
-from leadrudder.interface import Outcome, Readiness, ServerId
+from leadrudder.interface import Outcome, ServerId
 from leadrudder.node import contract
 from leadrudder.node.contract import Answer, Ask, HttpCall
 from leadrudder.node.http import CONTENT_TYPE, NOT_RUN, Message, MessageError, Reader, request_head
-from leadrudder.node.lists import Listing
+from leadrudder.node.lists import Address, Listing
+from leadrudder.node.peers import PeerTable
 from leadrudder.node.platform import SYSTEM, Platform
 
 log = logging.getLogger(__name__)
@@ -203,8 +204,8 @@
         self._idle_s = IDLE_PART * idle_s
         self._most_open = most_open
         self._host = host  # how this node names itself to servers
-        self._peers: dict[ServerId, Peer] = {}
-        self._by_address: dict[tuple[str, int], ServerId] = {}
+        self._table: PeerTable[Peer] = PeerTable(self._peer, self._dropped)
+        self._peers = self._table.peers
         self._doubted: dict[Peer, None] = {}  # those trusted less than usual
         self._idle: dict[Connection, None] = {}  # the longest idle first
         self._open: dict[Connection, None] = {}  # sets with an order: the same at every play
@@ -213,45 +214,16 @@
 
     # What the list says.
 
+    def _peer(self, name: str, address: Address, started_ms: float) -> Peer:
+        return Peer(name, address, started_ms, self._idle_s)
+
     def update(self, listing: Listing) -> list[ServerId]:
-        """Follow the list: with another address or start time old connections lead to a dead process.
-
-        Returns the servers whose address is another's now.  What is sent there by the old name would meet
-        the new server, which is cold.
-        """
-        if listing.whole:
-            named = {entry.server for entry in listing.entries}
-            for server in [server for server in self._peers if server not in named]:
-                self._drop(server)
-        replaced: list[ServerId] = []
-        for entry in listing.entries:
-            if entry.readiness is not Readiness.READY:
-                self._drop(entry.server)
-                continue
-            address = listing.addresses[entry.server]
-            rival = self._by_address.get(address)
-            if rival is not None and rival != entry.server:
-                older = entry.server if self._peers[rival].started_ms > entry.started_ms else rival
-                self._drop(older)
-                replaced.append(older)
-                if older == entry.server:
-                    continue
-            peer = self._peers.get(entry.server)
-            if peer is None or peer.address != address or peer.started_ms != entry.started_ms:
-                self._drop(entry.server)
-                name = entry.server.decode(errors="replace")
-                self._peers[entry.server] = Peer(name, address, entry.started_ms, self._idle_s)
-                self._by_address[address] = entry.server
-        return replaced
-
-    def _drop(self, server: ServerId) -> None:
-        peer = self._peers.pop(server, None)
-        if peer is not None:
-            peer.current = False
-            self._shed(list(peer.idle))
-            self._doubted.pop(peer, None)
-            if self._by_address.get(peer.address) == server:
-                del self._by_address[peer.address]
+        """Follow the list; returns the servers whose address is another's now."""
+        return self._table.update(listing)
+
+    def _dropped(self, _: ServerId, peer: Peer) -> None:
+        self._shed(list(peer.idle))
+        self._doubted.pop(peer, None)
 
     def any_listed(self) -> bool:
         return bool(self._peers)
--- /dev/null
+++ b/tests/rpc/test_config.py
@@ -0,0 +1,130 @@
+"""The operator's file for MessagePack-RPC: what is wrong with it is told in one line that names the field."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from leadrudder.interface import Effect, RequestClass, Settings, Tenant
+from leadrudder.rpc.config import RpcConfigError, parse, read
+
+ROOT = Path(__file__).parent.parent.parent
+SETTINGS = Settings(
+    classes=(
+        RequestClass("haku", 1000, 3000),
+        RequestClass("varaus", 1000, 3000, effect=Effect.UNSAFE),
+        RequestClass("siirto", 1000, 3000, effect=Effect.KEYED, window_ms=5000.0),
+    ),
+    tenants=(Tenant("kampaamo", 1.0, 10.0),),
+)
+GOOD: dict[str, Any] = {"method": [{"name": "varaa", "class": "varaus"}]}
+
+
+def test_the_example_that_is_kept_is_good_and_says_all_there_is() -> None:
+    config = read(str(ROOT / "deploy" / "rpc.toml"), SETTINGS)
+    assert config.terms is not None and len(config.listen) == 2 and len(config.methods) == 3
+    raw = tomllib.loads((ROOT / "deploy" / "rpc.toml").read_text())
+    assert set(raw) == {"front", "method", "meta", "defaults", "upstream", "limits", "errors"}
+
+
+def test_without_an_upstream_servers_speak_http() -> None:
+    config = parse(GOOD, SETTINGS)
+    assert config.terms is None and config.listen == () and config.meta.where == "last"
+
+
+@pytest.mark.parametrize(
+    ("change", "text"),
+    [
+        ({"method": []}, "method: at least one"),
+        ({"method": {}}, "method: at least one"),
+        ({"method": [1]}, "method.0 is no table"),
+        ({"method": [{"class": "varaus"}]}, "method.0.name is missing"),
+        ({"method": [{"name": "a", "class": "varaukset"}]}, "method.0.class is no class"),
+        ({"method": [{"name": "a", "class": "haku"}] * 2}, "method.1.name is mapped twice"),
+        ({"method": [{"name": "a", "class": "haku", "retry": True}]}, "method.0.retry is unknown"),
+        ({"method": [{"name": "a", "class": "haku", "target": "/other"}]}, "method.0.target is no path"),
+        ({"method": [{"name": "a", "class": "haku", "target": "/api/a b"}]}, "method.0.target is no path"),
+        ({"front": 1}, "front is no table"),
+        ({"front": {"listen": "x:1"}}, "front.listen is no list"),
+        ({"front": {"listen": ["x"]}}, "front.listen.0 is neither"),
+        ({"front": {"listen": ["x:99999"]}}, "front.listen.0 is neither"),
+        ({"front": {"listen": ["unix:"]}}, "front.listen.0 is neither"),
+        ({"front": {"open_each": 0}}, "front.open_each is no whole number"),
+        ({"front": {"open_each": True}}, "front.open_each is no whole number"),
+        ({"front": {"opn_each": 1}}, "front.opn_each is unknown"),
+        ({"meta": {"where": "middle"}}, "meta.where is none of"),
+        ({"meta": {"where": "positions", "id": -1}}, "meta.id is no whole number"),
+        ({"meta": {"where": "positions", "id": 1, "key": 1}}, "meta: two fields"),
+        ({"meta": {"id": 1}}, "meta.id is no text"),
+        ({"defaults": {"tenant": "other"}}, "defaults.tenant is no tenant"),
+        ({"defaults": {"deadline_s": -1}}, "defaults.deadline_s is no number"),
+        ({"defaults": {"deadline_s": 4000}}, "defaults.deadline_s is more than"),
+        ({"upstream": {"window": 0}}, "upstream.window is no whole number"),
+        ({"upstream": {"silence_s": 0}}, "upstream.silence_s is not above 0"),
+        ({"upstream": {"silence_s": float("inf")}}, "upstream.silence_s is no number"),
+        ({"upstream": {}, "errors": {"not_run": "x"}}, "errors.not_run is no list"),
+        ({"limits": {"size": 10}}, "limits.size is no whole number"),
+        ({"limits": {"depth": 1}}, "limits.depth is no whole number"),
+        ({"upstreams": {}}, "upstreams is unknown"),
+    ],
+)
+def test_a_file_that_cannot_be_meant_is_told_by_its_field(change: dict[str, Any], text: str) -> None:
+    with pytest.raises(RpcConfigError) as caught:
+        parse({**GOOD, **change}, SETTINGS)
+    assert str(caught.value).startswith(text) and "\n" not in str(caught.value)
+
+
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=6),
+        lambda inner: st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                [
+                    "front",
+                    "method",
+                    "meta",
+                    "defaults",
+                    "upstream",
+                    "limits",
+                    "errors",
+                    "listen",
+                    "name",
+                    "class",
+                ]
+                + ["class", "where", "id", "window", "connections", "size", "not_run", "tenant", "deadline_s"]
+            ),
+            inner,
+            max_size=5,
+        ),
+        max_leaves=25,
+    )
+)
+def test_whatever_the_file_holds_it_is_taken_or_told(raw: Any) -> None:
+    if isinstance(raw, dict):
+        try:
+            parse({**GOOD, **raw}, SETTINGS)
+        except RpcConfigError as error:
+            assert str(error)
+
+
+def test_a_file_that_is_none_is_told() -> None:
+    with pytest.raises(RpcConfigError, match="cannot be read"):
+        read(str(ROOT / "README.md"), SETTINGS)
+
+
+def test_where_it_is_off_nothing_of_it_is_imported() -> None:
+    code = "import sys, leadrudder.__main__; print([m for m in sys.modules if 'rpc' in m or 'msgpack' in m])"
+    kept = {name: value for name, value in os.environ.items() if name != "NODE_RPC"}
+    done = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, env=kept, capture_output=True, text=True, check=True
+    )
+    assert done.stdout.strip() == "[]"
