--- a/leadrudder/listed.py
+++ b/leadrudder/listed.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from leadrudder.interface import ListKind, Readiness, ServerEntry, ServerId, ServerList
 from leadrudder.records import ClassHealth, Server
@@ -60,7 +60,9 @@
             server.heard = now
         old, server.entry = server.entry, entry
         if entry.readiness is not Readiness.READY:
-            self._unlist(server, change)  # whatever else its entry says
+            if server.listed:  # it is taken out from where it was listed, whatever its last entry says of that
+                server.entry = replace(old, readiness=entry.readiness, started_ms=entry.started_ms)
+            self._unlist(server, change)
         elif server.listed and old != entry:
             placed = (old.kind, old.zone) == (entry.kind, entry.zone)
             change.moved = change.moved or not placed or old.capacity_hint != entry.capacity_hint
--- a/tests/rpc/mixed.py
+++ b/tests/rpc/mixed.py
@@ -1,7 +1,7 @@
 """Ten thousand mixed calls, HTTP and RPC, through nodes before servers that misbehave: how each one ended.
 
-Six stand-in servers on each side drop connections, fall silent, answer out of order, turn calls away, fail, and are
-started anew; every one keeps a log of what ran.  Used by the tests and by bench/rpc.py.
+Six stand-in servers on each side drop connections, fall silent, answer out of order, turn calls away, fail,
+and are started anew; every one keeps a log of what ran. Used by the tests and by bench/rpc.py.
 """
 
 from __future__ import annotations
