--- a/leadrudder/listed.py
+++ b/leadrudder/listed.py
@@ -60,7 +60,7 @@
             server.heard = now
         old, server.entry = server.entry, entry
         if entry.readiness is not Readiness.READY:
-            if server.listed:  # it is taken out from where it was listed, whatever its last entry says of that
+            if server.listed:  # it is taken out from where it was listed, whatever its last entry says
                 server.entry = replace(old, readiness=entry.readiness, started_ms=entry.started_ms)
             self._unlist(server, change)
         elif server.listed and old != entry:
