leadrudder rpc: the operator's file checked against a node's settings, and what it means

Shows for each method whether it may be repeated before anything is live; a bad file is told in one line by the command and at the node's start.

--- a/leadrudder/cli.py
+++ b/leadrudder/cli.py
@@ -10,6 +10,7 @@
 import click
 
 from leadrudder.demo.command import demo
+from leadrudder.rpc.command import rpc
 from leadrudder.simulation.command import simulate
 from leadrudder.tool.commands import check, completion, diff, explain, init, render, schema, sidecar
 
@@ -22,7 +23,7 @@
     """leadrudder: a load balancer's node for services that call services, and its tools."""
 
 
-for command in (demo, init, check, render, explain, diff, schema, sidecar, simulate, completion):
+for command in (demo, init, check, render, explain, diff, schema, sidecar, rpc, simulate, completion):
     tool.add_command(command)
 
 
--- a/tests/rpc/test_config.py
+++ b/tests/rpc/test_config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import subprocess
 import sys
@@ -13,6 +14,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from leadrudder.cli import main
 from leadrudder.interface import Effect, RequestClass, Settings, Tenant
 from leadrudder.rpc.config import RpcConfigError, parse, read
 
@@ -128,3 +130,63 @@
         [sys.executable, "-c", code], cwd=ROOT, env=kept, capture_output=True, text=True, check=True
     )
     assert done.stdout.strip() == "[]"
+
+
+def _node_config(tmp_path: Path) -> Path:
+    path = tmp_path / "node.json"
+    profiles = [
+        {"name": "haku", "effect": "safe", "aimMs": 1000.0, "deadlineMs": 3000.0},
+        {"name": "varaus", "effect": "unsafe", "aimMs": 1000.0, "deadlineMs": 3000.0},
+        {"name": "siirto", "effect": "keyed", "aimMs": 1000.0, "deadlineMs": 3000.0, "windowMs": 5000.0},
+    ]
+    tenants = [{"name": "kampaamo", "fraction": 1.0, "quotaPerS": 10.0}]
+    path.write_text(json.dumps({"settings": {"profiles": profiles, "tenants": tenants}}))
+    return path
+
+
+def test_the_command_tells_what_a_file_means(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    example = str(ROOT / "deploy" / "rpc.toml")
+    assert main(["rpc", example, "--config", str(_node_config(tmp_path))]) == 0
+    told = capsys.readouterr().out.splitlines()
+    assert "varaus.luo: class varaus, never repeated once it may have run" in told
+    assert "servers speak MessagePack-RPC, 64 calls out to each at the most" in told
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("method = 1", "method: at least one"),
+        ("[", "cannot be read"),
+        ("[[method]]\nname='a'", "method.0.class"),
+    ],
+)
+def test_the_command_turns_down_in_one_line_what_cannot_be_used(
+    text: str, expected: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = tmp_path / "rpc.toml"
+    file.write_text(text)
+    assert main(["rpc", str(file), "--config", str(_node_config(tmp_path))]) == 2
+    told = capsys.readouterr().err
+    assert expected in told and told.count("\n") == 1
+    assert main(["rpc", str(file), "--config", str(file)]) == 2
+    assert "no settings of a node" in capsys.readouterr().err
+
+
+def test_a_node_that_is_started_with_a_bad_file_ends_with_one_line(tmp_path: Path) -> None:
+    raw = json.loads(_node_config(tmp_path).read_text())
+    raw.update(name="n", listen="127.0.0.1:0", discovery="127.0.0.1:9", seed="1")
+    raw["limits"] = {"cores": 1.0, "memory_mb": 64, "sockets": 256}
+    (tmp_path / "node.json").write_text(json.dumps(raw))
+    file = tmp_path / "rpc.toml"
+    file.write_text("[[method]]\nname = 'a'\nclass = 'no'\n")
+    told = {"NODE_CONFIG": str(tmp_path / "node.json"), "NODE_RPC": str(file)}
+    done = subprocess.run(
+        [sys.executable, "-m", "leadrudder"],
+        cwd=ROOT,
+        env={**os.environ, **told},
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode == 2
+    assert done.stderr.strip().endswith("method.0.class is no class of the settings: 'no'")
+    assert done.stderr.startswith("leadrudder: NODE_RPC: ")
