A flood of list lines is gathered for 50 ms and followed as one change

Need: ten thousand changes a second were each parsed, followed and decided on by themselves. Past 100 a second they are merged, the last entry of a server holding; the watch is read no further with 5,000 lines waiting. Test: 10,000 lines at once come to under 1,000 events of the module, one line of the log, and the state that they end in.

--- a/leadrudder/node/discovery.py
+++ b/leadrudder/node/discovery.py
@@ -11,13 +11,17 @@
 
 import httptools
 
+from leadrudder.estimators import TokenBucket
 from leadrudder.interface import ServerId
-from leadrudder.node.lists import SHORT, Book, ListError, Listing, Naming
+from leadrudder.node.lists import SHORT, Book, ListError, Listing, Naming, finished, merged
 
 log = logging.getLogger(__name__)
 
 SILENCE_S = 7.0  # a watch sends an empty line every 2 s: after three missing ones its machine is cut off
 REWATCH_S = 0.25  # pause before the local agent is watched anew
+LINES_A_SECOND = 100.0  # beyond so many, lines are gathered for this long and followed together
+GATHER_S = 0.05
+LINES_MOST = 5000  # that wait to be read; with more the watch is read no further
 MAX_LINE = 4 * 1024 * 1024  # a list of some ten thousand servers
 
 
@@ -148,7 +152,10 @@
         self._timer: asyncio.TimerHandle | None = None
         self._book = Book()
         self._reading: Generator[None, None, None] | None = None  # a long line
-        self._lines: deque[tuple[_Watch, bytes]] = deque()  # what came behind it
+        self._lines: deque[tuple[_Watch, bytes]] = deque()  # what has come and is not read
+        self._rate = TokenBucket.full(LINES_A_SECOND)
+        self._gathering: asyncio.TimerHandle | None = None
+        self._flooded = -1.0  # when lines were last gathered
 
     def begin_with(self, known: Listing) -> None:
         """The list that is known at the start has been handed on by its owner."""
@@ -189,6 +196,8 @@
         """The end: drop all without a word."""
         self._leave()
         self._lines.clear()
+        if self._gathering is not None:
+            self._gathering.cancel()
         if self._reading is not None:
             self._reading.close()
             self._reading = None
@@ -224,10 +233,43 @@
                 # without a reply, and asked anew every second for as long as nothing changed.
                 self._on_list(Listing(self._version, False, (), {}))
             return
-        if self._reading is not None:
-            self._lines.append((watch, line))
-        else:
-            self._take(watch, line)
+        self._lines.append((watch, line))
+        if len(self._lines) > LINES_MOST:
+            watch.pause()  # the rest waits in the network
+        if self._reading is None and self._gathering is None:
+            if self._rate.take(1000.0 * self._loop.time()):
+                self._read_lines()
+            else:
+                if self._loop.time() - self._flooded > 1.0:  # once for each flood
+                    log.warning("discovery: more than %d lines a second: taken together", LINES_A_SECOND)
+                self._flooded = self._loop.time()
+                self._gathering = self._loop.call_later(GATHER_S, self._gathered)
+
+    def _gathered(self) -> None:
+        """A flood of lines is followed as one change each time: work is bounded by time, not by lines."""
+        self._gathering = None
+        many, self._lines = list(self._lines), deque()
+        together: list[Listing] = []
+        for i, (watch, line) in enumerate(many):
+            if len(line) > SHORT:  # a long one stands for itself, and what follows it waits
+                self._lines.extend(many[i:])
+                break
+            try:
+                together.append(finished(self._naming.read_text(line.decode())))
+            except (ValueError, ListError) as error:
+                self._bad_line(watch, error)
+        for listing in merged(together):
+            for piece in self._book.pieces(listing):
+                if piece is not None:
+                    self._on_list(piece)
+            self._version = listing.version
+        if many:
+            many[-1][0].resume()
+        self._read_lines()
+
+    def _read_lines(self) -> None:
+        while self._lines and self._reading is None:
+            self._take(*self._lines.popleft())
 
     def _take(self, watch: _Watch, line: bytes) -> None:
         """Read a line: a short one at once, a long one slice by slice, while the node goes on."""
@@ -262,18 +304,14 @@
         gc.freeze()  # what a list brought lives until another takes it away, and is counted out of use then
         gc.enable()
         watch.resume()
-        while self._lines and self._reading is None:
-            self._take(*self._lines.popleft())
+        self._read_lines()
 
     def _follow(self, watch: _Watch, line: bytes) -> Generator[None, None, None]:
         """Read one line and hand on what it changes, in slices."""
         try:
             listing = yield from self._naming.read_text(line.decode())
         except (ValueError, ListError) as error:
-            log.warning("discovery: bad line: %s", error)
-            watch.close()
-            if watch in (self._watch, self._successor):
-                self._ended(watch)
+            self._bad_line(watch, error)
             return
         for piece in self._book.pieces(listing):
             if piece is not None:
@@ -282,6 +320,12 @@
         # Only now: a list that was not followed to its end is asked for again.
         self._version = listing.version
 
+    def _bad_line(self, watch: _Watch, error: Exception) -> None:
+        log.warning("discovery: bad line: %s", error)
+        watch.close()
+        if watch in (self._watch, self._successor):
+            self._ended(watch)
+
     def _ended(self, watch: _Watch) -> None:
         if watch is self._successor:
             self._successor = None
--- a/leadrudder/node/lists.py
+++ b/leadrudder/node/lists.py
@@ -204,6 +204,22 @@
     return len(names) + crc32(str(name).encode())
 
 
+def merged(listings: Iterable[Listing]) -> list[Listing]:
+    """Changes that follow each other as one, in which a server's last entry holds; a whole list by itself."""
+    told: list[Listing] = []
+    for listing in listings:
+        if listing.whole:
+            told = [listing]  # what came before it is void
+        elif not told or told[-1].whole:
+            told.append(listing)
+        else:
+            last = told.pop()
+            entries = {entry.server: entry for entry in (*last.entries, *listing.entries)}
+            addresses = {**last.addresses, **listing.addresses}
+            told.append(Listing(listing.version, False, tuple(entries.values()), addresses))
+    return told
+
+
 class Book:
     """What has been handed on of the list, so that a long list is followed by what it changes, in pieces.
 
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -13,7 +13,7 @@
 
 from leadrudder import Balancer
 from leadrudder.interface import ListKind, Readiness, RequestClass, ServerList, Settings
-from leadrudder.node.lists import SLICE, Book, ListError, Listing, Naming, finished, members
+from leadrudder.node.lists import SLICE, Book, ListError, Listing, Naming, finished, members, merged
 from leadrudder.node.node import Node
 from leadrudder.node.servers import Servers
 from tests.stubs import StubServer, listing, reply, row, run, tell, world
@@ -320,3 +320,69 @@
         assert w.node._discovery._reading is None and w.node._discovery._version == 0
 
     run(main())
+
+
+def test_ten_thousand_changes_in_a_second_are_followed_as_a_few(caplog: pytest.LogCaptureFixture) -> None:
+    """One line of the log, work that is bounded by time, and the last entry of each server holds."""
+
+    async def main() -> None:
+        async with world(known=False, registryMode="pushed", guarantees=PATIENT) as w:
+            events: list[ServerList] = []
+            handle = w.node._balancer.handle
+
+            def noted(event: Any, now: float) -> Any:
+                if isinstance(event, ServerList):
+                    events.append(event)
+                return handle(event, now)
+
+            w.node._balancer.handle = noted  # type: ignore[method-assign]
+            watch = await w.discovery.watch()
+            tell(watch, listing(1, *rows(range(20))))
+            lines = [
+                listing(2 + i, *rows(range(i % 20, i % 20 + 1), lifecycle=states), reset=False)
+                for i in range(10_000)
+                for states in ("DRAINING" if i // 20 % 2 else "SERVING",)
+            ]
+            for line in lines:
+                tell(watch, line)
+            await _until(lambda: w.node._discovery._version == 10_001)
+            assert _listed(w.node) == 0, "the last entry of each is a drain"
+            assert len(events) < 1000
+            caller = await w.caller()
+            assert (await caller.ask(target="/ready")).status == 503
+            tell(watch, listing(10_002, *rows(range(3)), reset=False))
+            await _until(lambda: _listed(w.node) == 3)
+
+    run(main())
+    floods = [r for r in caplog.records if "taken together" in r.getMessage()]
+    assert 1 <= len(floods) <= 3
+
+
+@given(LISTS)
+def test_lists_taken_together_lead_where_they_lead_one_by_one(
+    changes: list[tuple[bool, list[tuple[int, int]]]],
+) -> None:
+    states = ("SERVING", "DRAINING", "DELETED", "SERVING")
+    listings = [
+        read(
+            version,
+            *(rows(range(n, n + 1), port=1 + how // 3, lifecycle=states[how])[0] for n, how in edits),
+            whole=whole,
+        )
+        for version, (whole, edits) in enumerate(changes)
+    ]
+    ends = []
+    for course in (listings, merged(listings)):
+        known: dict[bytes, tuple[object, object]] = {}
+        for told in course:
+            if told.whole:
+                known.clear()
+            for entry in told.entries:
+                if entry.readiness is Readiness.READY:
+                    known[entry.server] = entry, told.addresses[entry.server]
+                else:
+                    known.pop(entry.server, None)
+        ends.append(known)
+    assert ends[0] == ends[1]
+    assert len(merged(listings)) <= 2
+    assert not listings or merged(listings)[-1].version == listings[-1].version
