--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -195,8 +195,8 @@
 
 
 def test_newcomers_of_one_list_stand_alike_however_it_was_cut() -> None:
-    """Each counted against all that were there, the first of ten thousand got twelve times the last one's
-    share."""
+    """Each counted against all that were there, the first of ten thousand would get fourteen times the last
+    one's share."""
     settings = Settings(classes=(RequestClass("r", 1000, 3000),))
     book, balancer = Book(), Balancer(settings, seed=1)
     feed(balancer, book.pieces(read(1, *rows(range(1000)))))
