--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -147,6 +147,17 @@
     assert [entry.server for entry in piece.entries] == [b"s7"]
 
 
+def follow(known: dict[bytes, tuple[object, object]], told: Listing) -> None:
+    """What is known once this has been told: the plain way."""
+    if told.whole:
+        known.clear()
+    for entry in told.entries:
+        if entry.readiness is Readiness.READY:
+            known[entry.server] = entry, told.addresses[entry.server]
+        else:
+            known.pop(entry.server, None)
+
+
 LISTS = st.lists(
     st.tuples(st.booleans(), st.lists(st.tuples(st.integers(0, 900), st.integers(0, 3)), max_size=12)),
     max_size=6,
@@ -160,15 +171,6 @@
     plain: dict[bytes, tuple[object, object]] = {}
     followed: dict[bytes, tuple[object, object]] = {}
 
-    def follow(known: dict[bytes, tuple[object, object]], told: Listing) -> None:
-        if told.whole:
-            known.clear()
-        for entry in told.entries:
-            if entry.readiness is Readiness.READY:
-                known[entry.server] = entry, told.addresses[entry.server]
-            else:
-                known.pop(entry.server, None)
-
     states = ("SERVING", "DRAINING", "DELETED", "SERVING")
     base = {f"s{n}": r for n, r in enumerate(rows(range(600)))}
     for version, (whole, edits) in enumerate([(True, []), *changes]):
@@ -229,6 +231,20 @@
 # ---------------------------------------------------------------- the node
 
 
+def _lists_told(node: Node) -> list[ServerList]:
+    """What the module is told of lists from now on."""
+    events: list[ServerList] = []
+    handle = node._balancer.handle
+
+    def noted(event: Any, now: float) -> Any:
+        if isinstance(event, ServerList):
+            events.append(event)
+        return handle(event, now)
+
+    node._balancer.handle = noted  # type: ignore[method-assign]
+    return events
+
+
 async def _until(condition: Any) -> None:
     while not condition():
         await asyncio.sleep(0)
@@ -289,15 +305,7 @@
 def test_a_long_line_that_is_no_list_changes_nothing_and_the_watch_is_made_anew() -> None:
     async def main() -> None:
         async with world(known=False, registryMode="pushed", guarantees=PATIENT) as w:
-            events: list[ServerList] = []
-            handle = w.node._balancer.handle
-
-            def noted(event: Any, now: float) -> Any:
-                if isinstance(event, ServerList):
-                    events.append(event)
-                return handle(event, now)
-
-            w.node._balancer.handle = noted  # type: ignore[method-assign]
+            events = _lists_told(w.node)
             watch = await w.discovery.watch()
             text = json.dumps(listing(5, *rows(range(3000)))).encode()
             tell(watch, text[:-1] + b"]")
@@ -327,15 +335,7 @@
 
     async def main() -> None:
         async with world(known=False, registryMode="pushed", guarantees=PATIENT) as w:
-            events: list[ServerList] = []
-            handle = w.node._balancer.handle
-
-            def noted(event: Any, now: float) -> Any:
-                if isinstance(event, ServerList):
-                    events.append(event)
-                return handle(event, now)
-
-            w.node._balancer.handle = noted  # type: ignore[method-assign]
+            events = _lists_told(w.node)
             watch = await w.discovery.watch()
             tell(watch, listing(1, *rows(range(20))))
             lines = [
@@ -375,13 +375,7 @@
     for course in (listings, merged(listings)):
         known: dict[bytes, tuple[object, object]] = {}
         for told in course:
-            if told.whole:
-                known.clear()
-            for entry in told.entries:
-                if entry.readiness is Readiness.READY:
-                    known[entry.server] = entry, told.addresses[entry.server]
-                else:
-                    known.pop(entry.server, None)
+            follow(known, told)
         ends.append(known)
     assert ends[0] == ends[1]
     assert len(merged(listings)) <= 2
