--- a/leadrudder/simulation/faults.py
+++ b/leadrudder/simulation/faults.py
@@ -64,6 +64,8 @@
     "errors": Kind("a server answers 500", 1.0, 300, 4000),
     "spoilt": Kind("a server sends answers that are none", 1.2, 300, 4000),
     "surplus": Kind("a server sends more than its answer", 1.2, 300, 4000),
+    "unmarked": Kind("a server answers 503 to what it has run, unmarked", 1.2, 300, 4000),
+    "close-told": Kind("a server tells that it closes with its answers, and does so later", 1.0, 500, 5000),
     "hang": Kind("a server takes calls and does not answer", 1.0, 500, 5000),
     "close-idle": Kind("a server closes connections right after its answers", 0.8, 500, 5000),
     # discovery
@@ -82,6 +84,7 @@
     "leave": Kind("callers leave before their answer", 1.0, 500, 4000),
     "flood": Kind("callers come several times as fast", 1.0, 500, 3000),
     "rude": Kind("callers send what is no request, or a part of one", 1.0, 500, 4000),
+    "same-id": Kind("callers send the id of an open request once more", 1.0, 500, 4000),
     "pipeline": Kind("callers send several requests in a row", 0.7, 500, 4000),
     "slow-reader": Kind("callers do not read their answers for a while", 0.5, 500, 4000),
 }
--- a/leadrudder/simulation/injector.py
+++ b/leadrudder/simulation/injector.py
@@ -269,6 +269,12 @@
     def _spoilt(self, fault: Fault) -> None:
         self._with_trouble(fault, "spoilt", 0.1 + 0.9 * fault.level)
 
+    def _unmarked(self, fault: Fault) -> None:
+        self._with_trouble(fault, "unmarked", 0.1 + 0.9 * fault.level)
+
+    def _close_told(self, fault: Fault) -> None:
+        self._with_trouble(fault, "close_told", 0.1 + 0.9 * fault.level)
+
     def _surplus(self, fault: Fault) -> None:
         self._with_trouble(fault, "surplus", 0.2 + 0.8 * fault.level)
 
@@ -409,6 +415,9 @@
     def _flood(self, fault: Fault) -> None:
         self._with_manners(fault, "rate", 2.0 + 4.0 * fault.level)
 
+    def _same_id(self, fault: Fault) -> None:
+        self._with_manners(fault, "same_id", 0.05 + 0.4 * fault.level)
+
     def _rude(self, fault: Fault) -> None:
         self._with_manners(fault, "rude", 0.05 + 0.4 * fault.level)
 
--- a/leadrudder/simulation/oracle.py
+++ b/leadrudder/simulation/oracle.py
@@ -110,6 +110,7 @@
     requests: Framing
     answers: Framing
     waiting: deque[tuple[Owed | None, Attempt | None]] = field(default_factory=deque)
+    spent: str = ""  # why no further request may go out on it
 
 
 @dataclass(slots=True, eq=False)
@@ -421,6 +422,8 @@
     def _attempt(self, side: ServerSide, frame: Frame) -> None:
         """A node has written a whole request to a server."""
         self._judge_drain(side)
+        if side.spent:
+            self.report("reused", f"{side.node.loop.name} sent to {side.address} again {side.spent}")
         identity = frame.headers.get("x-request-id")
         if identity is None:
             side.waiting.append((None, None))  # a probe
@@ -471,8 +474,13 @@
 
     def _answers_came(self, side: ServerSide, data: bytes) -> None:
         for frame in side.answers.feed(data):
-            if 100 <= frame.status < 200 or not side.waiting:
+            if 100 <= frame.status < 200:
                 continue
+            if not side.waiting:
+                side.spent = "after an answer to nothing"
+                continue
+            if frame.headers.get("connection", "").lower() == "close":
+                side.spent = "after it was told the close"
             owed, attempt = side.waiting.popleft()
             if attempt is None:
                 continue
@@ -480,6 +488,8 @@
             attempt.not_run = frame.status in (503, 504) and frame.headers.get("x-not-run") == "1"
             if owed is not None and frame.status == 200:
                 owed.bodies.append(frame.body)
+        if not side.waiting and (side.answers.within or side.answers.malformed):
+            side.spent = "after more than an answer"
 
     def _told(self, node: NodeWatch, address: Address) -> Told | None:
         """What the node was told of an address: of a server that may be sent to, if there is one."""
--- a/leadrudder/simulation/standins/callers.py
+++ b/leadrudder/simulation/standins/callers.py
@@ -35,6 +35,7 @@
     rate: float = 1.0  # times the usual
     leave: float = 0.0
     rude: float = 0.0
+    same_id: float = 0.0
     pipeline: float = 0.0
     slow_reader: float = 0.0
 
@@ -141,6 +142,18 @@
         size = LARGE_BODY if rng.random() < LARGE else rng.randrange(200)
         return request("POST", operation.path, headers, b"x" * size), timeout
 
+    def _of_same_id(self, data: bytes) -> bytes:
+        """Another request under the id of this one: a safe one, as it may come when the first is done."""
+        identity = data.partition(b"X-Request-Id: ")[2].partition(b"\r\n")[0].decode()
+        self._number += 1
+        headers = {
+            "X-Request-Id": identity,
+            "X-Class": "haku",
+            "X-Tenant": TENANTS[0][0],
+            "X-Deadline": "2.000",
+        }
+        return request("GET", f"/api/haku-{self._number}", headers)
+
     # ------------------------------------------------------------ tries
 
     def _try(self, operation: Operation) -> None:
@@ -157,6 +170,8 @@
         if client is None:
             client = self._clients[found[1]] = NodeClient(self.loop, found[1])
         call = client.ask(data, timeout, lambda frame, why: self._answered(operation, frame, why))
+        if self.manners.same_id and self._rng.random() < self.manners.same_id:
+            self.loop.spawn(self._open_rude(found[1], self._of_same_id(data), False))
         if self._rng.random() < self.manners.leave:
             self.loop.call_later(self._rng.random() * 0.3, client.give_up, call, "left")
 
--- a/leadrudder/simulation/standins/server.py
+++ b/leadrudder/simulation/standins/server.py
@@ -26,6 +26,7 @@
 MEMORY_SLACK_US = MICROSECONDS  # a server's memory of keys is no shorter than it says
 LARGE = 0.01  # part of the answers that fill several windows
 LARGE_BODY = 60_000
+TOLD_CLOSE_S = 0.3  # between an answer that tells the close and the close
 TURNED_AWAY = "X-Not-Run: 1\r\n"
 
 
@@ -38,6 +39,8 @@
     errors: float = 0.0
     spoilt: float = 0.0
     surplus: float = 0.0
+    unmarked: float = 0.0
+    close_told: float = 0.0
     hang: bool = False
     close_idle: bool = False
     draining: bool = False
@@ -276,11 +279,14 @@
             return
         if rng.random() < trouble.errors:
             status = 500
+        elif trouble.unmarked and rng.random() < trouble.unmarked:
+            status = 503  # of a gateway before it, say: it tells nothing of whether the request ran
+        told = trouble.close_told > 0.0 and rng.random() < trouble.close_told
         self._made += 1
         body = f"{job.frame.target} {self.name} {self._made} ".encode()
         if rng.random() < LARGE:
             body += b"." * (LARGE_BODY - len(body))
-        data = answer(status, body if status == 200 else b"")
+        data = answer(status, body if status == 200 else b"", "Connection: close\r\n" if told else "")
         if rng.random() < trouble.spoilt:
             transport.write(_spoil(data, rng))
             transport.close()
@@ -292,6 +298,8 @@
         transport.write(data)
         if trouble.close_idle:
             transport.close()
+        elif told:
+            self.loop.call_later(TOLD_CLOSE_S, transport.close)
         else:
             job.connection.rest()
 
--- a/tests/simulation/plants.py
+++ b/tests/simulation/plants.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import pytest
@@ -29,6 +29,7 @@
 )
 from leadrudder.node import discovery, lists, servers
 from leadrudder.node.callers import Callers, HttpExchange
+from leadrudder.node.contract import Ask, Exchange
 from leadrudder.node.http import Message, Reader
 from leadrudder.node.node import Node
 from leadrudder.policy import attempts, decide, placement
@@ -95,6 +96,43 @@
     patch.setattr(Reader, "stop", lambda self: None)
 
 
+def reused_after_surplus(patch: pytest.MonkeyPatch) -> None:
+    """A connection that brought more than its answer in one piece is kept, and the surplus thrown away."""
+    patch.setattr(Reader, "surplus", property(lambda self: False, lambda self, value: None), raising=False)
+
+
+def told_close_overlooked(patch: pytest.MonkeyPatch) -> None:
+    """A connection is kept though its server told that it closes it."""
+    original = servers.Connection._finish
+
+    def finish(self: servers.Connection, answer: Message) -> None:
+        original(self, replace(answer, keep_alive=True))
+
+    patch.setattr(servers.Connection, "_finish", finish)
+
+
+def every_503_never_ran(patch: pytest.MonkeyPatch) -> None:
+    """A 503 counts as "never ran", whether it is marked so or not."""
+    original = servers._outcome
+
+    def outcome(message: Message) -> Outcome:
+        return Outcome.FULL if message.status == 503 else original(message)
+
+    patch.setattr(servers, "_outcome", outcome)
+
+
+def same_id_taken(patch: pytest.MonkeyPatch) -> None:
+    """Two open requests of one id are both taken."""
+    original = Node.take
+
+    def take(self: Node, ask: Ask, exchange: Exchange) -> None:
+        before = self._held.pop(ask.id, 0)
+        original(self, ask, exchange)
+        self._held[ask.id] += before
+
+    patch.setattr(Node, "take", take)
+
+
 def late_answer_kept(patch: pytest.MonkeyPatch) -> None:
     """The connection of a call that was given up is used again, and what comes late answers another
     request."""
@@ -238,6 +276,10 @@
     _planted(group_forgotten, 4, "keyed-elsewhere effect-twice"),
     _planted(reply_lost_at_the_deadline, 4, "lost leak", "hang slow coincide"),
     _planted(surplus_taken_for_an_answer, 4, "untrue", "surplus"),
+    _planted(reused_after_surplus, 4, "reused untrue", "surplus"),
+    _planted(told_close_overlooked, 2, "reused", "close-told"),
+    _planted(every_503_never_ran, 2, "unsafe-repeated refused-may-have-run effect-twice", "unmarked"),
+    _planted(same_id_taken, 2, "unsafe-repeated sent-for-nothing copy-forbidden effect-twice", "same-id"),
     _planted(late_answer_kept, 2, "untrue copy-forbidden", "hang slow"),
     _planted(ids_held_for_good, 2, "leak"),
     _planted(exchanges_remembered, 2, "leak"),
