leadrudder check takes no listener where discovery is asked

Measured on main: a listener at the address that its own tier names as discovery was accepted. Both would not start, or the node would ask itself for the list. Told as port-taken now, also for another application's discovery, and for 0.0.0.0 where discovery is asked on this machine (not for the same port of another). Two broken files and two tests more; all were accepted before.

--- a/leadrudder/tool/checks.py
+++ b/leadrudder/tool/checks.py
@@ -8,7 +8,7 @@
 
 import ipaddress
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from leadrudder.node.routes import covers
@@ -369,6 +369,29 @@
     return hosts[0] == hosts[1] or any(host in ANY for host in hosts)
 
 
+def _takes(listener: str, asked: str) -> bool:
+    """Whether a listener stands where an address is asked: of all addresses, only at this machine's own."""
+    if not collide(listener, asked):
+        return False
+    return _host(listener) == _host(asked) or _host(asked) == "localhost" or _is_loopback(_host(asked))
+
+
+def _is_loopback(host: str) -> bool:
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return False
+
+
+def _discovery_of(files: Iterable[File], listener: Listener) -> str | None:
+    """Whose discovery is asked at this listener's address."""
+    for file in files:
+        for tier in file.tier:
+            if _takes(listener.address, tier.discovery):
+                return f"discovery of tier {tier.name!r} of application {file.application.name!r} ({tier.discovery})"
+    return None
+
+
 def _taken(listener: Listener, by: str, path: Path) -> Finding:
     return Finding(
         path,
@@ -387,6 +410,8 @@
                     listener, f"listener {other.name!r} ({other.address})", ("listener", i, "address")
                 )
                 break
+        if (by := _discovery_of([file], listener)) is not None:
+            yield _taken(listener, by, ("listener", i, "address"))
 
 
 def routes_are_reached(file: File) -> Iterator[Finding]:
@@ -509,6 +534,8 @@
                 by = f"application {before.application.name!r} ({found.name}, {found.address})"
                 yield _taken(listener, by, ("listener", k, "address"))
                 break
+        if (asked := _discovery_of(files[:i] + files[i + 1 :], listener)) is not None:
+            yield _taken(listener, asked, ("listener", k, "address"))
 
 
 def _loops(files: list[File], index: dict[str, int]) -> Iterator[tuple[int, Finding]]:
--- a/tests/tool/samples.py
+++ b/tests/tool/samples.py
@@ -349,6 +349,20 @@
         "0.0.0.0:8100 is taken by listener 'front' (127.0.0.1:8100)",
         more='[limits]\npermitted = ["0.0.0.0/0"]\n[[listener]]\nname = "toinen"\naddress = "0.0.0.0:8100"\ntier = "palvelu"\n',
     ),
+    _b(
+        "a listener where its own tier's discovery is asked",
+        "port-taken",
+        "listener[2].address",
+        "127.0.0.1:8500 is taken by discovery of tier 'palvelu'",
+        more='[[listener]]\nname = "toinen"\naddress = "127.0.0.1:8500"\ntier = "palvelu"\n',
+    ),
+    _b(
+        "a listener on all addresses where discovery is asked",
+        "port-taken",
+        "listener[2].address",
+        "0.0.0.0:8500 is taken by discovery of tier 'palvelu'",
+        more='[limits]\npermitted = ["0.0.0.0/0"]\n[[listener]]\nname = "toinen"\naddress = "0.0.0.0:8500"\ntier = "palvelu"\n',
+    ),
     _b(
         "a listener for the whole world",
         "listener-not-permitted",
--- a/tests/tool/test_check.py
+++ b/tests/tool/test_check.py
@@ -110,6 +110,22 @@
     assert not _together(tmp_path, BASE, apart).problems
 
 
+def test_a_listener_where_another_application_asks_discovery(tmp_path: Path) -> None:
+    there = LEAST.replace("127.0.0.1:2", "127.0.0.1:8500")
+    for files in ((BASE, there), (there, BASE)):
+        done = _together(tmp_path, *files)
+        assert [(p.rule, p.field) for p in done.problems] == [("port-taken", "listener[1].address")]
+        assert "discovery of tier 'palvelu' of application 'kampaamo'" in done.problems[0].what
+
+
+def test_all_addresses_do_not_take_a_port_of_another_machine(tmp_path: Path) -> None:
+    """Discovery of the whole site may well be asked at the port that a node listens on here."""
+    wide = LEAST.replace("127.0.0.1:2", "0.0.0.0:8500") + '[limits]\npermitted = ["0.0.0.0/0"]\n'
+    far = BASE.replace('discovery = "127.0.0.1:8500"', 'discovery = "10.2.0.1:8500"')
+    assert not _together(tmp_path, far, wide).problems
+    assert [p.rule for p in _together(tmp_path, BASE, wide).problems] == ["port-taken"]
+
+
 def test_applications_that_call_each_other_in_a_circle(tmp_path: Path) -> None:
     def app(name: str, calls: str, port: int) -> str:
         text = LEAST.replace('{name = "pieni"}', f'{{name = "{name}", calls = ["{calls}"]}}')
