What decisions rest on moves to leadrudder/state/

Eighteen modules lay loose at the package's root. Nothing but names has changed; the compiled modules are looked for there too, and the test that plays a course compiled and interpreted gives one digest.

--- a/leadrudder/compiled.py
+++ b/leadrudder/compiled.py
@@ -15,11 +15,7 @@
 from pathlib import Path
 
 MODULES = (
-    "capacity",
-    "estimators",
     "interface",
-    "list_calls",
-    "listed",
     "looks",
     "policy.admission",
     "policy.attempts",
@@ -27,10 +23,14 @@
     "policy.decide",
     "policy.health",
     "policy.placement",
-    "records",
-    "rings",
-    "timers",
-    "weights",
+    "state.capacity",
+    "state.estimators",
+    "state.list_calls",
+    "state.listed",
+    "state.records",
+    "state.rings",
+    "state.timers",
+    "state.weights",
 )
 PACKAGE = Path(__file__).parent
 PURE = "LEADRUDDER_PURE"
@@ -63,7 +63,7 @@
     kept = kept or folder()
     if os.environ.get(PURE) or not _load_shared(kept):
         return False
-    for package in ("leadrudder", "leadrudder.node", "leadrudder.policy"):
+    for package in ("leadrudder", "leadrudder.node", "leadrudder.policy", "leadrudder.state"):
         path = importlib.import_module(package).__path__
         path.insert(0, str(kept / package.replace(".", "/")))
     return True
--- a/leadrudder/node/discovery.py
+++ b/leadrudder/node/discovery.py
@@ -11,9 +11,9 @@
 
 import httptools
 
-from leadrudder.estimators import TokenBucket
 from leadrudder.interface import ServerId
 from leadrudder.node.lists import SHORT, Book, ListError, Listing, Naming, finished, merged
+from leadrudder.state.estimators import TokenBucket
 
 log = logging.getLogger(__name__)
 
--- a/leadrudder/policy/admission.py
+++ b/leadrudder/policy/admission.py
@@ -4,9 +4,9 @@
 
 import math
 
-from leadrudder.estimators import Rate, TokenBucket
 from leadrudder.interface import Settings
-from leadrudder.records import Turn
+from leadrudder.state.estimators import Rate, TokenBucket
+from leadrudder.state.records import Turn
 
 TARGET = 0.4  # latencies are kept below this part of the aim, less for inner tiers
 TARGET_TIMES = 1.6  # and this many times the calmest lateness, where the aim leaves little room
--- a/leadrudder/policy/attempts.py
+++ b/leadrudder/policy/attempts.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from leadrudder import interface as api
-from leadrudder.records import Server
+from leadrudder.state.records import Server
 
 
 @dataclass(slots=True)
--- a/leadrudder/policy/automaton.py
+++ b/leadrudder/policy/automaton.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Mapping
 
-from leadrudder.estimators import Column
 from leadrudder.interface import ServerId
-from leadrudder.weights import GroupedWeights, Newcomers, Weights, floored
+from leadrudder.state.estimators import Column
+from leadrudder.state.weights import GroupedWeights, Newcomers, Weights, floored
 
 # The automaton.  A copy sees few calls over many servers, so both steps are far above the paper's.
 ALPHA = 0.15  # an average spans about seven of its server's calls
--- a/leadrudder/policy/health.py
+++ b/leadrudder/policy/health.py
@@ -7,7 +7,7 @@
 
 from leadrudder.interface import CloseIdle, Effect, Outcome, Probe, ProbeEnded, ServerId, Settings
 from leadrudder.policy.placement import EJECT_MOST, Placement, can_spare
-from leadrudder.records import ClassHealth, Server, Turn
+from leadrudder.state.records import ClassHealth, Server, Turn
 
 FAIL_STEP = 0.3  # two failures in a row cross FAIL_EJECT, one never does
 SPOILT_STEP = 0.14  # any server spoils an answer now and then: four in a row cross it, three never do
--- a/leadrudder/policy/placement.py
+++ b/leadrudder/policy/placement.py
@@ -10,14 +10,14 @@
 import math
 from collections.abc import Callable, Sequence
 
-from leadrudder.capacity import Capacity
 from leadrudder.interface import Effect, ServerId, ServerList, Settings
-from leadrudder.listed import Listed
 from leadrudder.looks import Look
 from leadrudder.policy.attempts import permitted
 from leadrudder.policy.automaton import Automaton
-from leadrudder.records import Server, Turn
-from leadrudder.rings import Rings
+from leadrudder.state.capacity import Capacity
+from leadrudder.state.listed import Listed
+from leadrudder.state.records import Server, Turn
+from leadrudder.state.rings import Rings
 
 EJECT_MOST = 0.34  # part of the fleet that may be out at once
 PANIC = 0.5  # with more than this part unhealthy, health is ignored: the cause is not the servers
--- a/leadrudder/capacity.py
+++ b/leadrudder/state/capacity.py
@@ -7,9 +7,9 @@
 
 import math
 
-from leadrudder.estimators import Rate
 from leadrudder.interface import Settings
-from leadrudder.records import Server, Turn
+from leadrudder.state.estimators import Rate
+from leadrudder.state.records import Server, Turn
 
 WARMTH_STEPS = 8  # looks at how warm a cold server has become
 
--- a/leadrudder/listed.py
+++ b/leadrudder/state/listed.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field, replace
 
 from leadrudder.interface import ListKind, Readiness, ServerEntry, ServerId, ServerList
-from leadrudder.records import ClassHealth, Server
+from leadrudder.state.records import ClassHealth, Server
 
 
 @dataclass(slots=True)
--- a/tests/course.py
+++ b/tests/course.py
@@ -10,7 +10,7 @@
 import random
 from dataclasses import dataclass, field
 
-from leadrudder import Balancer, weights
+from leadrudder import Balancer
 from leadrudder.interface import (
     Arrival,
     AttemptEnded,
@@ -31,6 +31,7 @@
     Tenant,
     TimerFired,
 )
+from leadrudder.state import weights
 
 CLASSES = (
     RequestClass("r", 300, 2000),
--- a/tests/simulation/plants.py
+++ b/tests/simulation/plants.py
@@ -13,7 +13,6 @@
 
 import pytest
 
-from leadrudder.capacity import Capacity
 from leadrudder.interface import (
     NEVER_RAN,
     Effect,
@@ -36,6 +35,7 @@
 from leadrudder.policy.admission import Admission
 from leadrudder.policy.attempts import Attempt, Request
 from leadrudder.policy.decide import Balancer
+from leadrudder.state.capacity import Capacity
 
 Plant = Callable[[pytest.MonkeyPatch], None]
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from leadrudder.capacity import WARMTH_STEPS, Capacity
 from leadrudder.interface import ListKind, Outcome, RequestClass, ServerEntry, Settings
-from leadrudder.records import ClassHealth, Server, Turn
+from leadrudder.state.capacity import WARMTH_STEPS, Capacity
+from leadrudder.state.records import ClassHealth, Server, Turn
 from tests.checker import Surrounding
 
 COLD_MS = 8000.0
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -12,7 +12,6 @@
 from hypothesis import strategies as st
 
 from leadrudder import Balancer
-from leadrudder.capacity import WARMTH_STEPS
 from leadrudder.interface import (
     Action,
     Arrival,
@@ -31,7 +30,8 @@
 from leadrudder.looks import Look
 from leadrudder.policy.automaton import FLOOR_SHARE, KINDS_MOST, Automaton
 from leadrudder.policy.placement import SCAN_EACH, SCAN_MOST, TRIES, Placement
-from leadrudder.timers import SHED_LEAST
+from leadrudder.state.capacity import WARMTH_STEPS
+from leadrudder.state.timers import SHED_LEAST
 from tests.checker import Surrounding
 from tests.plain_automaton import PlainAutomaton
 
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from leadrudder.timers import SHED_LEAST, Subject, Timers
+from leadrudder.state.timers import SHED_LEAST, Subject, Timers
 
 
 def test_things_fall_due_in_order_and_one_call_wakes_for_all() -> None:
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from leadrudder.weights import GroupedWeights, Weights
+from leadrudder.state.weights import GroupedWeights, Weights
 
 OPS = st.lists(
     st.one_of(
