Load reports, what can still count, and places kept for what is worth most

Load reports were read by nobody, on sockets not even parsed.

Change: state/reports.py (fresh, bounded evidence that only takes calls away from a crowded server and tempers strain), state/worth.py (worth by class, share and foretold time), KEPT of the limit for what is worth more, as trunk reservation does. X-Load is read by node/reports.py and handed on by the contract.

--- a/leadrudder/compiled.py
+++ b/leadrudder/compiled.py
@@ -28,9 +28,11 @@
     "state.list_calls",
     "state.listed",
     "state.records",
+    "state.reports",
     "state.rings",
     "state.timers",
     "state.weights",
+    "state.worth",
 )
 PACKAGE = Path(__file__).parent
 PURE = "LEADRUDDER_PURE"
--- a/leadrudder/node/contract.py
+++ b/leadrudder/node/contract.py
@@ -15,6 +15,7 @@
 
 from leadrudder.interface import Outcome, ServerId
 from leadrudder.node.lists import Listing
+from leadrudder.node.reports import Report
 
 
 class DuplicateId(Exception):  # noqa: N818 - it names what is wrong with a request
@@ -114,7 +115,10 @@
         """Stop waiting: it ends now, with this outcome, unless it has ended."""
 
 
-Done = Callable[[Outcome, Answer | None], None]
+class Done(Protocol):
+    """Called once with how an attempt or a probe ended; report: what the server told of its load with it."""
+
+    def __call__(self, outcome: Outcome, answer: Answer | None, report: Report = (), /) -> None: ...
 
 
 class Upstream(Protocol):
--- a/leadrudder/node/http.py
+++ b/leadrudder/node/http.py
@@ -26,6 +26,7 @@
 COST_HINT = b"x-cost-hint"
 IDEMPOTENCY_KEY = b"idempotency-key"
 NOT_RUN = b"x-not-run"
+LOAD = b"x-load"
 CONTENT_TYPE = b"content-type"
 
 _REASONS = {
--- a/leadrudder/node/node.py
+++ b/leadrudder/node/node.py
@@ -46,6 +46,7 @@
 from leadrudder.node.discovery import Discovery
 from leadrudder.node.lists import Listing
 from leadrudder.node.platform import SYSTEM, Platform
+from leadrudder.node.reports import Report
 from leadrudder.node.servers import Servers
 from leadrudder.policy.decide import Balancer
 
@@ -98,6 +99,7 @@
         idle_s=config.conn_idle_ms / 1000.0,
         most_open=int(SERVERS_PART * config.limits.sockets),
         host=b"%s:%d" % (config.listen[0].encode(), config.listen[1]),
+        columns=config.settings.load_columns,
         platform=platform,
     )
 
@@ -342,9 +344,9 @@
         sent = self._clock.now()
         name = pending.ask.id
 
-        def done(outcome: Outcome, answer: Answer | None) -> None:
+        def done(outcome: Outcome, answer: Answer | None, report: Report = (), /) -> None:
             self._let_go(name)
-            self._ended(request, number, server, sent, outcome, answer)
+            self._ended(request, number, server, sent, outcome, answer, report)
 
         self._held[name] += 1
         self._calls[request, number] = self._servers.attempt(server, pending.ask, timeout / 1000.0, done)
@@ -357,19 +359,20 @@
         sent: float,
         outcome: Outcome,
         answer: Answer | None,
+        report: Report,
     ) -> None:
         self._calls.pop((request, number), None)
         if outcome is Outcome.OK and answer is not None and (pending := self._close(request)) is not None:
             pending.exchange.served(answer)
         elapsed = self._clock.now() - sent
         finished = request not in self._requests
-        self._post(AttemptEnded(request, number, server, outcome, elapsed, finished))
+        self._post(AttemptEnded(request, number, server, outcome, elapsed, finished, report))
 
     def _probe(self, server: ServerId) -> None:
         sent = self._clock.now()
 
-        def done(outcome: Outcome, _: Answer | None) -> None:
-            self._post(ProbeEnded(server, outcome, self._clock.now() - sent))
+        def done(outcome: Outcome, _: Answer | None, report: Report = (), /) -> None:
+            self._post(ProbeEnded(server, outcome, self._clock.now() - sent, report))
 
         self._servers.probe(server, PROBE_MS / 1000.0, done)
 
--- a/leadrudder/node/servers.py
+++ b/leadrudder/node/servers.py
@@ -15,10 +15,11 @@
 from leadrudder.interface import Outcome, ServerId
 from leadrudder.node import contract
 from leadrudder.node.contract import Answer, Ask, HttpCall
-from leadrudder.node.http import CONTENT_TYPE, NOT_RUN, Message, MessageError, Reader, request_head
+from leadrudder.node.http import CONTENT_TYPE, LOAD, NOT_RUN, Message, MessageError, Reader, request_head
 from leadrudder.node.lists import Address, Listing
 from leadrudder.node.peers import PeerTable
 from leadrudder.node.platform import SYSTEM, Platform
+from leadrudder.node.reports import ReportReader
 
 log = logging.getLogger(__name__)
 
@@ -196,6 +197,7 @@
         idle_s: float,
         most_open: int,
         host: bytes = b"",
+        columns: tuple[str, ...] = (),
         platform: Platform = SYSTEM,
     ) -> None:
         self.platform = platform
@@ -203,6 +205,7 @@
         self._connect_s = connect_s
         self._idle_s = IDLE_PART * idle_s
         self._most_open = most_open
+        self._reports = ReportReader(columns)
         self._host = host  # how this node names itself to servers
         self._table: PeerTable[Peer] = PeerTable(self._peer, self._dropped)
         self._peers = self._table.peers
@@ -242,16 +245,24 @@
             return b"%sX-Deadline: %.3f\r\n\r\n%s" % (head, seconds, body)
 
         def ended(outcome: Outcome, message: Message | None) -> None:
-            if outcome is Outcome.OK and message is not None:
-                done(outcome, Answer(message.body, message.headers.get(CONTENT_TYPE)))
-            else:
+            if message is None:
                 done(outcome, None)
+                return
+            answer = None
+            if outcome is Outcome.OK:
+                answer = Answer(message.body, message.headers.get(CONTENT_TYPE))
+            done(outcome, answer, self._reports.read(message.headers.get(LOAD)))
 
         return self.call(server, render, timeout_s, ended)
 
     def probe(self, server: ServerId, timeout_s: float, done: contract.Done) -> Call:
         text = b"GET /health HTTP/1.1\r\nHost: %s\r\n\r\n" % self._host
-        return self.call(server, lambda _: text, timeout_s, lambda outcome, _: done(outcome, None))
+
+        def ended(outcome: Outcome, message: Message | None) -> None:
+            load = message.headers.get(LOAD) if message is not None else None
+            done(outcome, None, self._reports.read(load))
+
+        return self.call(server, lambda _: text, timeout_s, ended)
 
     def call(self, server: ServerId, render: Render, timeout_s: float, done: Done) -> Call:
         """Start one call; its outcome comes by done, once, at the earliest after this returns."""
--- a/leadrudder/policy/admission.py
+++ b/leadrudder/policy/admission.py
@@ -1,12 +1,14 @@
-"""How many calls may be out, which is what turns requests away, and who is within his share."""
+"""How many calls may be out, which is what turns requests away."""
 
 from __future__ import annotations
 
 import math
 
 from leadrudder.interface import Settings
-from leadrudder.state.estimators import Rate, TokenBucket
+from leadrudder.policy.attempts import Request
+from leadrudder.state.estimators import Rate
 from leadrudder.state.records import Turn
+from leadrudder.state.reports import Reports
 
 TARGET = 0.4  # latencies are kept below this part of the aim, less for inner tiers
 TARGET_TIMES = 1.6  # and this many times the calmest lateness, where the aim leaves little room
@@ -27,13 +29,18 @@
 LIMIT_DEPTH = 1.2  # margin over the calls out that the best recent rate needs at the calmest latency
 PEAK_FADE = 4.0  # the best rate fades over this many aims
 LIMIT_START = 6.0  # calls out for each server before anything is known, so that a restart opens no flood
+KEPT = 0.2  # of the limit is kept for what is worth most, and as much less for what is worth nothing
+KEPT_HOPELESS = 0.5  # and this much, while strained, for what can still come in time
 LIMIT_START_UP = 1.2  # and its growth for each mean latency until the first strain
 
 
 class Admission:
     """The limit of calls out follows the strain: latency against its target and against the calmest."""
 
-    def __init__(self, settings: Settings, turn: Turn) -> None:
+    def __init__(self, settings: Settings, turn: Turn, reports: Reports) -> None:
+        self._reports = reports
+        self._servers = 0  # those that are listed
+        self._top = max(c.worth for c in settings.classes) or 1.0
         self._settings = settings
         self._turn = turn
         self._aim = min(c.aim_ms for c in settings.classes)
@@ -59,15 +66,15 @@
         self._served = Rate(self._aim)
         self._peak = 0.0  # best recent rate of answers a millisecond
         self._peak_at = 0.0
-        self._quota = [TokenBucket.full(t.quota_per_s / settings.balancers) for t in settings.tenants]
         self._shedding = False
 
-    def bear(self, capacity: float) -> None:
+    def bear(self, capacity: float, servers: int) -> None:
         """The fleet bears as much as so many warm servers: the limit and what it rests on move along.
 
         Guards against a release that leaves six of ten servers, two of them cold, to calls out for ten: each
         then holds more than it bears and turns slow for long.
         """
+        self._servers = servers
         if capacity == self._arms or not capacity:
             return
         by = capacity / self._arms if self._arms else 1.0
@@ -82,19 +89,19 @@
         if self._first is None:
             self._first = self._turn.now
 
-    def has_room(self, chance: float, out: int) -> bool:
+    def has_room(self, request: Request, out: int) -> bool:
         """Whether the limit of calls out leaves room for this request.
 
+        At the front a part is kept for what is worth more, as trunk reservation does: without it a request
+        of the least worth takes the place that comes free a moment before one of the most asks for it.
+
         Where many nodes share few calls it is a few calls or less than one: each request carries the chance
         that settles the fraction.
         """
-        return out + chance < self._limit
-
-    def within_share(self, tenant: int) -> bool:
-        """Token bucket of a second's quota for each tenant, at the tier that clients reach."""
-        if self._settings.stage or not 0 <= tenant < len(self._quota):
-            return True
-        return self._quota[tenant].take(self._turn.now)
+        kept = KEPT * (1.0 - min(request.value.worth / self._top, 1.0)) if not self._settings.stage else 0.0
+        if request.value.hopeless and self._strain > 1.0:
+            kept = KEPT_HOPELESS
+        return out + request.chance < self._limit * (1.0 - kept)
 
     def calm_known(self) -> bool:
         """The first answers to come back are the quick ones: a mean of those alone is too calm for long."""
@@ -158,6 +165,7 @@
             # By Little's law: calls that are out tell of a queue before they end, if it matters to the aim.
             held = (out - math.sqrt(out)) / max(self._served.per_ms(now), 1e-9)
             self._strain = max(self._strain, min(held / max(calm, target * self._aim), 1.0 / LIMIT_DOWN_MOST))
+        self._strain = self._reports.temper(self._strain, self.pressure, self._servers)
         # Not by the mean latency alone: in a jam that grows to the callers' deadline, and cuts came too late.
         if now - self._limit_at < min(patience, TIMES_CALM * self.calm, self._aim):
             return
--- a/leadrudder/policy/attempts.py
+++ b/leadrudder/policy/attempts.py
@@ -7,6 +7,7 @@
 
 from leadrudder import interface as api
 from leadrudder.state.records import Server
+from leadrudder.state.worth import Appraisal
 
 
 @dataclass(slots=True)
@@ -32,8 +33,7 @@
     class_index: int
     arrived: float
     deadline: float
-    units: float  # work, as a multiple of the mean request's
-    worth: float
+    value: Appraisal
     seq: int
     chance: float  # in [0, 1): takes the fraction of the limit of calls out
     attempts: list[Attempt] = field(default_factory=list)
--- a/leadrudder/policy/decide.py
+++ b/leadrudder/policy/decide.py
@@ -24,6 +24,7 @@
 from leadrudder.state.list_calls import ListCalls
 from leadrudder.state.records import Server, Turn
 from leadrudder.state.timers import Timers
+from leadrudder.state.worth import Worth
 
 FULL_PAUSE = 0.02  # a server that was full rests for this part of the aim, twice as long each time until it
 FULL_DOUBLINGS = 5  # answers again: one that drains turns calls away for seconds before the list tells
@@ -55,7 +56,7 @@
         self._health = Health(
             settings, self._turn, self._fleet, lambda when, server: self._timers.at(when, RETURN, server)
         )
-        self._admission = Admission(settings, self._turn)
+        self._admission = Admission(settings, self._turn, self._fleet.reports)
         self._requests: dict[api.RequestId, Request] = {}
         self._attempts: dict[tuple[api.RequestId, int], tuple[Server, Attempt]] = {}
         self._queue: list[tuple[float, int, Request]] = []  # by worth, then age
@@ -63,7 +64,7 @@
         self._aim = min(c.aim_ms for c in settings.classes)
         self._patience = Patience()
         self._class_patience = [Patience() for _ in settings.classes]
-        self._cost = 0.0  # mean cost hint
+        self._worth = Worth(settings)
         self._retry_tokens = RETRY_MOST / 2
         self._recheck_at = math.inf
         self._on: dict[type, Callable[[Any], None]] = {
@@ -84,7 +85,7 @@
         on_event = self._on.get(type(event))
         if on_event is not None:
             on_event(event)
-        self._admission.bear(self._fleet.capacity.total())
+        self._admission.bear(self._fleet.capacity.total(), len(self._fleet.arms))
         self._drain()
         if (wake := self._timers.wake()) is not None:
             turn.actions.append(api.SetTimer(*wake))
@@ -130,18 +131,10 @@
         if event.request in self._requests:
             raise api.UnexpectedEvent(f"request {event.request} arrived twice")
         kind = settings.classes[event.class_index]
-        units = 1.0
-        if event.cost_hint_ms is not None and event.cost_hint_ms > 0:
-            self._cost += (event.cost_hint_ms - self._cost) * (0.02 if self._cost else 1.0)
-            units = event.cost_hint_ms / self._cost
-        worth = kind.worth if settings.worth_by_work else kind.worth / units
-        if not self._admission.within_share(event.tenant):
-            worth *= settings.over_share_worth
         self._seq += 1
         chance, deadline = self._turn.rng.random(), now + event.budget_ms
-        request = Request(
-            event.request, kind, event.class_index, now, deadline, units, worth, self._seq, chance
-        )
+        value = self._worth.appraise(event, now)
+        request = Request(event.request, kind, event.class_index, now, deadline, value, self._seq, chance)
         self._requests[request.id] = request
         self._retry_tokens = min(RETRY_MOST, self._retry_tokens + RETRY_EARN)
         # At the front a request waits a part of its aim; further in, its work so far would be lost.
@@ -150,19 +143,19 @@
 
     def _wait(self, request: Request, hold: float) -> None:
         request.hold_until, request.waiting = self._turn.now + hold, True
-        insort(self._queue, (-request.worth, request.seq, request))
+        insort(self._queue, (-request.value.worth, request.seq, request))
 
     def _leave_queue(self, request: Request) -> None:
         if request.waiting:
             request.waiting = False
-            self._queue.remove((-request.worth, request.seq, request))
+            self._queue.remove((-request.value.worth, request.seq, request))
 
     def _drain(self) -> None:
         """Place what waits, the most worthy first."""
         i = tries = 0
         while i < len(self._queue) and tries < 3:
             request = self._queue[i][2]
-            if not self._admission.has_room(request.chance, len(self._attempts)):
+            if not self._admission.has_room(request, len(self._attempts)):
                 break  # and none of less worth by the luck of its chance
             if self._place(request, False):
                 continue
@@ -176,7 +169,7 @@
 
     def _expire(self, request: Request) -> None:
         """A request has waited long enough: a last attempt anywhere the rules allow, or an answer."""
-        if self._admission.has_room(request.chance, len(self._attempts)) and self._place(request, True):
+        if self._admission.has_room(request, len(self._attempts)) and self._place(request, True):
             return
         self._finish(request)
 
@@ -201,13 +194,13 @@
             return False
         self._leave_queue(request)
         number = len(request.attempts)
-        attempt = Attempt(server.entry, now, request.units, request.class_index)
+        attempt = Attempt(server.entry, now, request.value.units, request.class_index)
         server.classes[request.class_index].out += 1
         request.attempts.append(attempt)
         request.out += 1
         server.out[request.id, number] = now
         self._attempts[request.id, number] = (server, attempt)
-        self._fleet.sent(server, request.units)
+        self._fleet.sent(server, request.value.units)
         self._admission.sent()
         self._watch(request)
         if self._doubts(request, server):
@@ -285,6 +278,7 @@
         attempt.ended = event.outcome
         del server.out[key]
         server.classes[attempt.class_index].out -= 1
+        self._fleet.reports.take(server, event.load)
         self._health.count(server, -1)
         self._judge(server, attempt, event)
         self._health.count(server, 1)
@@ -335,6 +329,7 @@
             aim = self._aim
             if request is not None:
                 self._class_patience[request.class_index].observe(elapsed)
+                self._worth.learn(request.class_index, request.value.cost, elapsed)
                 aim = request.kind.aim_ms
             usual = elapsed / (0.5 + 0.5 * attempt.units)  # half of what the cost hint foretold is taken out
             self._admission.calm_down(usual)
@@ -368,6 +363,7 @@
             # What was given up took at least this long: leaving it out would shorten patience for the next.
             self._patience.observe(elapsed)
             self._class_patience[request.class_index].observe(elapsed)
+            self._worth.learn(request.class_index, request.value.cost, elapsed)
             self._feel(elapsed / request.kind.aim_ms)
             self.automaton.charge(name, elapsed)
             if current and elapsed >= self._patience.late():
--- a/leadrudder/policy/placement.py
+++ b/leadrudder/policy/placement.py
@@ -17,6 +17,7 @@
 from leadrudder.state.capacity import Capacity
 from leadrudder.state.listed import Listed
 from leadrudder.state.records import Server, Turn
+from leadrudder.state.reports import Reports
 from leadrudder.state.rings import Rings
 
 EJECT_MOST = 0.34  # part of the fleet that may be out at once
@@ -68,6 +69,7 @@
         self._due: list[tuple[float, int, Server]] = []  # when to look again whether one still is special
         self._seq = 0
         self.capacity = Capacity(settings, turn)
+        self.reports = Reports(settings, turn)
         self._more = False  # further pieces of a list follow
         self._scans = 0.0  # servers that may be looked at beyond those drawn
         self._panic: list[tuple[bool, int]] = [(False, 0)] * len(settings.classes)  # and decisions since
@@ -80,6 +82,7 @@
         change = self.list.take(event, self._turn.now)
         for server in change.fresh:
             self.count(server, -1)
+            self.reports.forget(server)
             server.start_anew(self._turn.now, self._turn.rng.random())
             self.count(server, 1)
         many = max(len(change.joined), len(change.left)) * PIECEWISE > len(self.arms)
@@ -112,6 +115,7 @@
         self.count(server, -1)
         self.special.pop(server.entry.server, None)
         self.capacity.left(server)
+        self.reports.forget(server)
         server.special = False
         if not whole:
             self.automaton.leave(server.at)
@@ -198,12 +202,17 @@
             server = self.arms[i]
             if (keep and not self._kept(server)) or server.entry.server in look.tried:
                 continue
+            if self.reports.on and not last_resort and self._crowded(server):
+                continue
             if not server.special and not look.risky:
                 return server
             if self._standing(look, server) >= (SICK if last_resort else FIT):
                 return server
         return None
 
+    def _crowded(self, server: Server) -> bool:
+        return self.reports.crowded(server, len(self.arms) * self.automaton.shares.weight(server.at))
+
     def _panics(self, look: Look) -> bool:
         """Whether too many are unhealthy for health to be a guide; counted as seldom as it costs little."""
         c = look.request.class_index
@@ -235,6 +244,8 @@
         if last_resort or unhealthy > PANIC * len(arms):
             # Something that all servers share is wrong, or it is now or never: health is no guide.
             fit = allowed
+        elif self.reports.on:
+            fit = [i for i in fit if not self._crowded(arms[i])] or fit
         fresh = [i for i in fit if arms[i].entry.server not in look.tried] if look.tried else fit
         if fresh or (look.request.out and not last_resort):
             fit = fresh
@@ -248,7 +259,7 @@
         if server.cold:
             if look.flow is None:
                 look.flow = self.capacity.warm_flow()
-            if not self.capacity.allows(server, request.units, look.flow):
+            if not self.capacity.allows(server, request.value.units, look.flow):
                 return FORBIDDEN
         health = server.classes[request.class_index]
         if (health.trial or server.due > now) and not health.open(now):
--- a/leadrudder/rpc/upstream.py
+++ b/leadrudder/rpc/upstream.py
@@ -18,6 +18,7 @@
 from leadrudder.node.contract import Answer, Ask, Done, HttpCall, RpcCall
 from leadrudder.node.lists import Address, Listing
 from leadrudder.node.peers import PeerTable
+from leadrudder.node.reports import Report
 from leadrudder.rpc.errors import Form, outcome
 from leadrudder.rpc.framing import (
     MSGID_MOST,
@@ -292,7 +293,7 @@
         if isinstance(ask.call, HttpCall):
             told = done
 
-            def done(how: Outcome, answer: Answer | None) -> None:
+            def done(how: Outcome, answer: Answer | None, report: Report = (), /) -> None:
                 told(how, None if answer is None else self._as_body(answer))
 
         if call.notification:
--- a/leadrudder/state/records.py
+++ b/leadrudder/state/records.py
@@ -61,6 +61,9 @@
     due: float = -math.inf  # until then it rests, is cold or barred
     tokens: float = 0.0  # cold budget, in calls of mean work
     tokens_at: float = 0.0
+    load: tuple[float, ...] = ()  # its latest report, while that is fresh
+    load_at: float = 0.0
+    load_out: int = 0  # calls of ours that were out then
 
     def start_anew(self, now: float, token: float) -> None:
         """A new process: what was held against an old one is void; it is cold again."""
--- a/tests/rpc/test_upstream.py
+++ b/tests/rpc/test_upstream.py
@@ -11,6 +11,7 @@
 from leadrudder.interface import Outcome
 from leadrudder.node.contract import Answer, Ask, RpcCall
 from leadrudder.node.lists import Naming
+from leadrudder.node.reports import Report
 from leadrudder.rpc.framing import pack
 from leadrudder.rpc.upstream import RpcServers, Terms
 from tests.rpc.stubs import RpcPeer, RpcServer, rpc_world, serve
@@ -41,7 +42,7 @@
         params = pack([number, b"x" * size])
         ask = Ask(b"%d" % number, 0, 0, 0, 1000.0, None, False, RpcCall("look", params, note))
 
-        def done(how: Outcome, answer: Answer | None) -> None:
+        def done(how: Outcome, answer: Answer | None, report: Report = (), /) -> None:
             assert number not in self.ended, "it ended twice"
             self.ended[number] = how, answer
             self._changed.set()
@@ -354,7 +355,7 @@
         async with RpcServer() as server:
             side = Side(server, probe=probe)
             told: list[Outcome] = []
-            side.upstream.probe(b"s0", QUICK, lambda how, _: told.append(how))
+            side.upstream.probe(b"s0", QUICK, lambda how, *_: told.append(how))
             await side.until(lambda: told)
             assert told == [Outcome.OK]
             assert [call[2] for call in server.calls] == [probe] * bool(probe)
