--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,223 @@
+"""Load reports: what they add, how long, and what one that can't be meant does."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from leadrudder import Balancer
+from leadrudder.interface import (
+    Action,
+    Arrival,
+    AttemptEnded,
+    ListKind,
+    Log,
+    Outcome,
+    RequestClass,
+    Send,
+    ServerEntry,
+    ServerList,
+    Settings,
+)
+from leadrudder.node.lists import Naming
+from leadrudder.node.reports import MOST_KEPT, ReportReader
+from leadrudder.node.servers import Servers
+from leadrudder.state.records import ClassHealth, Server, Turn
+from leadrudder.state.reports import FRESH_MS, LOG_EACH_MS, Reports
+from tests.stubs import StubServer, listing, reply, row, run
+
+COLUMNS = ("utilization", "outstanding")
+SETTINGS = Settings((RequestClass("look", 1000.0, 3000.0),), load_columns=COLUMNS)
+BAD = [(math.nan, 1.0), (0.5, math.inf), (-0.1, 3.0), (0.5, -1.0), (0.5, 1e9), (7.0, 1.0), (0.5,)]
+
+
+def reports() -> tuple[Reports, Turn, list[Server]]:
+    turn = Turn(random.Random(1))
+    servers = [Server(ServerEntry(bytes([i])), [ClassHealth()], at=i) for i in range(4)]
+    return Reports(SETTINGS, turn), turn, servers
+
+
+def test_crowded_is_who_tells_of_full_cores_and_of_more_than_its_part() -> None:
+    told, _, servers = reports()
+    for server, load in zip(servers, [(1.0, 30.0), (1.0, 6.0), (0.4, 30.0), (1.0, 30.0)], strict=True):
+        told.take(server, load)
+    # The mean is 24: the second is below it, the third has cores free, and of a large share much is expected.
+    assert [told.crowded(s, 1.0) for s in servers] == [True, False, False, True]
+    assert not told.crowded(servers[3], 1.2)
+
+
+def test_a_report_counts_for_its_time_and_a_repeat_of_it_makes_it_no_younger() -> None:
+    told, turn, servers = reports()
+    for server in servers:
+        told.take(server, (1.0, 40.0 if server is servers[0] else 1.0))
+    turn.now = FRESH_MS - 1.0
+    told.take(servers[0], (1.0, 40.0))
+    assert told.crowded(servers[0], 1.0) and told.utilisation(4) == 1.0
+    turn.now = FRESH_MS
+    assert not told.crowded(servers[0], 1.0) and told.utilisation(4) is None
+    told.take(servers[0], (1.0, 40.0))
+    assert servers[0].load == (1.0, 40.0), "what it told too long ago is heard again"
+
+
+def test_who_claims_to_hold_nothing_is_held_for_what_this_node_has_there() -> None:
+    told, _, servers = reports()
+    for server in servers:
+        told.take(server, (1.0, 0.0 if server is servers[0] else 4.0))
+    assert not told.crowded(servers[0], 1.0)
+    servers[0].out = {(i, 0): 0.0 for i in range(9)}
+    assert told.crowded(servers[0], 1.0)
+
+
+@pytest.mark.parametrize(
+    ("busy", "pressure", "strain", "tempered"),
+    [
+        (0.5, 0.8, 1.7, 1.0),  # cores are free and latencies near their target: heavy work, no jam
+        (0.5, 2.0, 1.7, 1.7),  # far above it they wait for something else than these cores
+        (0.93, 0.8, 1.7, 1.7),
+        (1.0, 0.8, 0.4, 1.03),  # no core is free: strain before latencies tell of it
+        (0.5, 0.8, 0.4, 0.4),
+    ],
+)
+def test_strain_is_seen_beside_the_cores(
+    busy: float, pressure: float, strain: float, tempered: float
+) -> None:
+    told, _, servers = reports()
+    for server in servers[:3]:
+        told.take(server, (busy, 5.0))
+    assert told.temper(strain, pressure, 4) == pytest.approx(tempered)
+    assert told.temper(strain, pressure, 6) == strain, "of half a fleet's reports nothing is concluded"
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.sampled_from("trgw"), st.floats(0.0, 1.2)), max_size=120))
+@settings(max_examples=60, deadline=None)
+def test_the_sums_are_those_of_a_full_scan(steps: list[tuple[int, str, float]]) -> None:
+    told, turn, servers = reports()
+    last: dict[int, tuple[float, tuple[float, float]]] = {}
+    for i, what, figure in steps:
+        if what == "t":
+            turn.now += 1500.0 * figure
+        elif what == "g":
+            told.forget(servers[i])
+            last.pop(i, None)
+        elif what == "w":
+            told.take(servers[i], (-1.0, figure))
+        else:
+            load = (figure, round(10 * figure))
+            if i not in last or last[i][1] != load or turn.now - last[i][0] >= FRESH_MS:
+                last[i] = turn.now, load
+            told.take(servers[i], load)
+        fresh = [load for at, load in last.values() if turn.now - at < FRESH_MS]
+        mean = sum(u for u, _ in fresh) / len(fresh) if fresh else None
+        got = told.utilisation(1)
+        assert got == (pytest.approx(mean) if mean is not None else None)
+        assert len(told._fresh) <= len(steps)
+
+
+def test_bad_reports_change_nothing_and_are_told_once_in_a_while() -> None:
+    def play(loads: list[tuple[float, ...]]) -> list[Action]:
+        node = Balancer(SETTINGS, 7)
+        log: list[Action] = []
+        entries = tuple(ServerEntry(bytes([i])) for i in range(4))
+        log += node.handle(ServerList(ListKind.FULL, entries), 0.0)
+        for i in range(400):
+            now = 10.0 * i
+            sent = [a for a in node.handle(Arrival(i, 0, 2000.0), now) if isinstance(a, Send)]
+            for action in sent:
+                load = loads[i % len(loads)] if loads else ()
+                log += node.handle(
+                    AttemptEnded(i, 0, action.server, Outcome.OK, 20.0 + i % 7, True, load), now + 5.0
+                )
+            log += sent
+        return log
+
+    with_bad = play(list(BAD))
+    lines = [a for a in with_bad if isinstance(a, Log)]
+    assert [a for a in with_bad if a not in lines] == [a for a in play([]) if not isinstance(a, Log)]
+    assert len(lines) == 1 and "load reports can't be meant" in lines[0].text
+    assert LOG_EACH_MS > 400 * 10.0
+
+
+def test_a_crowded_server_gets_less_while_others_have_room_and_all_of_them_none_the_less_for_it() -> None:
+    def calls(crowd: set[int]) -> list[int]:
+        node = Balancer(SETTINGS, 3)
+        node.handle(ServerList(ListKind.FULL, tuple(ServerEntry(bytes([i])) for i in range(4))), 0.0)
+        got = [0] * 4
+        for i in range(2000):
+            now = 10.0 * i
+            for action in node.handle(Arrival(i, 0, 2000.0), now):
+                if isinstance(action, Send):
+                    at = action.server[0]
+                    got[at] += 1
+                    # The figures move a little, as those of a server that measures anew do.
+                    load = (1.0 if at in crowd else 0.5, (30.0 if at in crowd else 5.0) + i % 3)
+                    node.handle(AttemptEnded(i, 0, action.server, Outcome.OK, 20.0, True, load), now + 5.0)
+        return got
+
+    plain, one, every = calls(set()), calls({0}), calls({0, 1, 2, 3})
+    assert sum(plain) == sum(one) == sum(every) == 2000
+    assert min(plain) > 300 and min(every) > 300
+    # What it told is fresh for four seconds; then it is asked with a call, and tells again.
+    assert 1 <= one[0] <= 2000 * 10.0 / FRESH_MS + 8
+
+
+# ---------------------------------------------------------------- on sockets
+
+
+@pytest.mark.parametrize(
+    ("told", "read"),
+    [
+        (b'{"utilization":0.61,"outstanding":7}', (0.61, 7.0)),
+        (b'{"inflight":7,"queue":2,"util":0.61}', (0.61, 7.0)),  # as the sockets name them
+        (None, ()),
+    ],
+)
+def test_a_report_is_read_in_the_order_of_the_settings(told: bytes | None, read: tuple[float, ...]) -> None:
+    assert ReportReader(COLUMNS).read(told) == read
+    assert ReportReader(()).read(told) == ()
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        b"",
+        b"[0.6,7]",
+        b"{\xff]",
+        b'{"util":0.6}',
+        b'{"util":"0.6","inflight":7}',
+        b'{"util":true,"inflight":7}',
+        b'{"util":null,"inflight":7}',
+        b'{"util":0.6,"inflight":' + b"9" * 400 + b"}",
+        b"[" * 500,
+        b'{"util":0.6,"inflight":7,"x":"' + b"y" * 600 + b'"}',
+    ],
+)
+def test_what_cannot_be_read_is_handed_on_as_no_figures(told: bytes) -> None:
+    read = ReportReader(COLUMNS).read(told)
+    assert len(read) == 2 and all(math.isnan(figure) for figure in read)
+
+
+def test_what_is_kept_of_reports_is_bounded() -> None:
+    reader = ReportReader(COLUMNS)
+    for i in range(3 * MOST_KEPT):
+        assert reader.read(b'{"util":0.5,"inflight":%d}' % i) == (0.5, float(i))
+    assert len(reader._kept) == MOST_KEPT
+
+
+@pytest.mark.parametrize("status", ["200 OK", "503 Service Unavailable"])
+def test_a_report_comes_with_any_answer(status: str) -> None:
+    async def main() -> None:
+        extra = 'X-Load: {"util":0.25,"inflight":3}\r\n'
+        async with StubServer([reply(status, extra=extra)]) as server:
+            servers = Servers(connect_s=1.0, idle_s=5.0, most_open=4, columns=COLUMNS)
+            servers.update(Naming((), ()).read(listing(1, row("a", server.address))))
+            ended: asyncio.Future[tuple[float, ...]] = asyncio.get_running_loop().create_future()
+            servers.probe(b"a", 5.0, lambda _, __, report=(), /: ended.set_result(report))
+            assert await asyncio.wait_for(ended, 10.0) == (0.25, 3.0)
+            servers.close()
+
+    run(main())
