The simulation's servers tell their load, honestly, late, falsely or in no form

Need: reports are input that nobody vouches for; the four rules had not been played with them.

Sites without reports stay what they were: the draw has a source of its own.

--- a/leadrudder/simulation/site.py
+++ b/leadrudder/simulation/site.py
@@ -32,6 +32,7 @@
     rate: float  # callers' requests a second
     work_ms: float  # mean, on one core of a usual machine
     queue: int  # calls that may wait at a server
+    reports: str = "off"  # of load, with answers: off, honest, or mixed with bad ones
 
     @classmethod
     def draw(cls, seed: str, nodes: int) -> Site:
@@ -56,6 +57,8 @@
             rate=load * first * 1000.0 / work / tiers,
             work_ms=work,
             queue=rng.choice((4, 20, 60)),
+            # A source of its own: sites without reports stay what they were.
+            reports=random.Random(f"{seed}/reports").choices(("off", "honest", "mixed"), (0.5, 0.2, 0.3))[0],
         )
 
     def profiles(self) -> list[dict[str, Any]]:
@@ -76,6 +79,7 @@
 
     def settings(self, tier: int, ordinal: int) -> dict[str, Any]:
         """A node's settings, nested as in its configuration."""
+        told = {"columns": ["utilization", "outstanding"], "how": "inline"}
         return {
             "azs": list(ZONES),
             "balancers": self.nodes if tier == 0 else self.servers[tier - 1],
@@ -83,6 +87,7 @@
             "stage": tier,
             "layers": [f"tier-{i}" for i in range(self.tiers)],
             "models": list(MODELS),
+            "loadInfo": {"columns": [], "how": "off"} if self.reports == "off" else told,
             "guarantees": {
                 "answerSlackMs": 20.0,
                 "coldMs": self.cold_ms,
--- a/leadrudder/simulation/standins/server.py
+++ b/leadrudder/simulation/standins/server.py
@@ -19,6 +19,7 @@
 from leadrudder.simulation.oracle import Oracle
 from leadrudder.simulation.scheduler import MICROSECONDS
 from leadrudder.simulation.standins.client import NodeClient
+from leadrudder.simulation.standins.reports import Reporter
 
 START_SHARE = 0.3  # of its capacity that a cold server has
 FALL_MULTIPLE = 4.0
@@ -138,6 +139,7 @@
         effects: dict[str, str],
         keys: Keys,
         inner: Address | None,
+        reports: str,
         seed: str,
     ) -> None:
         self.loop = loop
@@ -159,10 +161,12 @@
         self._rng = random.Random(f"{seed}/server/{name}/{started_us}")
         self._queue: deque[Job] = deque()
         self._working = 0
+        self._held = 0  # begun and not answered
         self._lately: deque[tuple[int, float]] = deque()  # arrivals and their work within the window
         self._lately_ms = 0.0
         self._fallen = False
         self._made = 0
+        self._reporter = Reporter.drawn(reports, f"{seed}/server/{name}/{started_us}")
         loop.network.listen(loop, lambda: ServerConnection(self), address)
 
     # ------------------------------------------------------------ taking
@@ -215,7 +219,9 @@
     def _work(self) -> None:
         while self._queue and not self._working and not self.trouble.hang:
             job = self._queue.popleft()
+            self._held += 1
             if self.loop.scheduler.now >= job.until_us:
+                self._held -= 1
                 job.connection.transport.write(answer(504, headers=TURNED_AWAY))
                 job.connection.rest()
                 continue
@@ -228,6 +234,7 @@
         if not job.repeat:
             self.oracle.ran(self.tier, operation, headers.get("x-class", _class_of(job.frame)), self.name)
         span = job.work_ms * self.trouble.slow / (self.speed * self._share())
+        self._reporter.worked(int(1000.0 * span))
         self.loop.call_later(span / 1000.0, self._worked, job)
 
     def _share(self) -> float:
@@ -274,6 +281,7 @@
     # ------------------------------------------------------------ answering
 
     def _answer(self, job: Job, status: int) -> None:
+        self._held -= 1
         transport, trouble, rng = job.connection.transport, self.trouble, self._rng
         if transport.is_closing():
             return
@@ -286,7 +294,10 @@
         body = f"{job.frame.target} {self.name} {self._made} ".encode()
         if rng.random() < LARGE:
             body += b"." * (LARGE_BODY - len(body))
-        data = answer(status, body if status == 200 else b"", "Connection: close\r\n" if told else "")
+        headers = self._reporter.header(self.loop.scheduler.now, self._held)
+        if told:
+            headers += "Connection: close\r\n"
+        data = answer(status, body if status == 200 else b"", headers)
         if rng.random() < trouble.spoilt:
             transport.write(_spoil(data, rng))
             transport.close()
--- a/leadrudder/simulation/world.py
+++ b/leadrudder/simulation/world.py
@@ -215,6 +215,7 @@
             effects={p["name"]: p["effect"] for p in self.site.profiles()},
             keys=keys,
             inner=inner,
+            reports=self.site.reports,
             seed=self.seed,
         )
         self.servers[tier].append(server)
--- a/tests/simulation/plants.py
+++ b/tests/simulation/plants.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
@@ -31,6 +32,7 @@
 from leadrudder.node.contract import Ask, Exchange
 from leadrudder.node.http import Message, Reader
 from leadrudder.node.node import Node
+from leadrudder.node.reports import ReportReader
 from leadrudder.policy import attempts, decide, placement
 from leadrudder.policy.admission import Admission
 from leadrudder.policy.attempts import Attempt, Request
@@ -250,6 +252,16 @@
     patch.setattr(discovery.Discovery, "_line", line)
 
 
+def reports_read_unguarded(patch: pytest.MonkeyPatch) -> None:
+    """A load report is taken for what it should be."""
+
+    def parse(self: ReportReader, value: bytes) -> tuple[float, ...]:
+        told = json.loads(value)
+        return float(told["util"]), float(told["inflight"])
+
+    patch.setattr(ReportReader, "_parse", parse)
+
+
 @dataclass(frozen=True)
 class Planted:
     """A plant, the rules that it may break first, within how many seeds it must be found, and among which
@@ -289,6 +301,7 @@
     _planted(connects_left_behind, 4, "leak", "node-restart half-open silent"),
     _planted(fault_swallowed, 2, "exception"),
     _planted(cold_as_warm, 3, "cold-pushed", "silent drain"),
+    _planted(reports_read_unguarded, 4, "exception lost"),
     _planted(timers_at_once, 2, "spin"),
     _planted(silent_watch_asked_anew, 4, "restless leak"),
 ]
