Places are kept by worth under strain only: nothing is held empty in a calm fleet

Where cold servers count for little the limit is tight and nobody is strained: places stood empty.

Change: what is kept rises from strain 0.7 to 1. Reports know how many servers are listed.

--- a/leadrudder/policy/admission.py
+++ b/leadrudder/policy/admission.py
@@ -29,7 +29,8 @@
 LIMIT_DEPTH = 1.2  # margin over the calls out that the best recent rate needs at the calmest latency
 PEAK_FADE = 4.0  # the best rate fades over this many aims
 LIMIT_START = 6.0  # calls out for each server before anything is known, so that a restart opens no flood
-KEPT = 0.2  # of the limit is kept for what is worth most, and as much less for what is worth nothing
+KEPT = 0.2  # of the limit, the more the less a request is worth: for what is worth most, under strain
+KEPT_FROM = 0.7  # and from this strain on, rising: with less than that it only keeps places empty
 KEPT_HOPELESS = 0.5  # and this much, while strained, for what can still come in time
 LIMIT_START_UP = 1.2  # and its growth for each mean latency until the first strain
 
@@ -39,7 +40,6 @@
 
     def __init__(self, settings: Settings, turn: Turn, reports: Reports) -> None:
         self._reports = reports
-        self._servers = 0  # those that are listed
         self._top = max(c.worth for c in settings.classes) or 1.0
         self._settings = settings
         self._turn = turn
@@ -68,13 +68,12 @@
         self._peak_at = 0.0
         self._shedding = False
 
-    def bear(self, capacity: float, servers: int) -> None:
+    def bear(self, capacity: float) -> None:
         """The fleet bears as much as so many warm servers: the limit and what it rests on move along.
 
         Guards against a release that leaves six of ten servers, two of them cold, to calls out for ten: each
         then holds more than it bears and turns slow for long.
         """
-        self._servers = servers
         if capacity == self._arms or not capacity:
             return
         by = capacity / self._arms if self._arms else 1.0
@@ -99,6 +98,7 @@
         that settles the fraction.
         """
         kept = KEPT * (1.0 - min(request.value.worth / self._top, 1.0)) if not self._settings.stage else 0.0
+        kept *= min(max((self._strain - KEPT_FROM) / (1.0 - KEPT_FROM), 0.0), 1.0)
         if request.value.hopeless and self._strain > 1.0:
             kept = KEPT_HOPELESS
         return out + request.chance < self._limit * (1.0 - kept)
@@ -165,7 +165,7 @@
             # By Little's law: calls that are out tell of a queue before they end, if it matters to the aim.
             held = (out - math.sqrt(out)) / max(self._served.per_ms(now), 1e-9)
             self._strain = max(self._strain, min(held / max(calm, target * self._aim), 1.0 / LIMIT_DOWN_MOST))
-        self._strain = self._reports.temper(self._strain, self.pressure, self._servers)
+        self._strain = self._reports.temper(self._strain, self.pressure)
         # Not by the mean latency alone: in a jam that grows to the callers' deadline, and cuts came too late.
         if now - self._limit_at < min(patience, TIMES_CALM * self.calm, self._aim):
             return
--- a/leadrudder/policy/decide.py
+++ b/leadrudder/policy/decide.py
@@ -85,7 +85,7 @@
         on_event = self._on.get(type(event))
         if on_event is not None:
             on_event(event)
-        self._admission.bear(self._fleet.capacity.total(), len(self._fleet.arms))
+        self._admission.bear(self._fleet.capacity.total())
         self._drain()
         if (wake := self._timers.wake()) is not None:
             turn.actions.append(api.SetTimer(*wake))
--- a/leadrudder/policy/health.py
+++ b/leadrudder/policy/health.py
@@ -161,8 +161,7 @@
 
     def on_probe(self, event: ProbeEnded) -> None:
         server = self._fleet.servers.get(event.server)
-        if server is not None:
-            self._fleet.reports.take(server, event.load)
+        self._fleet.reports.take(server, event.load)
         if server is None or not server.ejected:
             return  # news of a server that has changed meanwhile
         if event.outcome is Outcome.OK:
--- a/leadrudder/policy/placement.py
+++ b/leadrudder/policy/placement.py
@@ -100,7 +100,7 @@
         for server in [*change.changed, *(self.special.values() if whole else ())]:
             self.note(server)
         self._choose_home()
-        self._scans = float(len(self.arms))
+        self._scans, self.reports.servers = float(len(self.arms)), len(self.arms)
         if not event.more:
             self.automaton.newcomers.begin(len(self.arms))
 
--- a/leadrudder/state/reports.py
+++ b/leadrudder/state/reports.py
@@ -41,15 +41,16 @@
         self._held = _column(settings, HELD)
         self.on = self._util >= 0 and self._held >= 0
         self._fresh: deque[tuple[float, Server]] = deque()  # the oldest first; one entry for each refresh
+        self.servers = 0  # listed, of which some tell nothing
         self._known = 0
         self._held_sum = 0.0
         self._util_sum = 0.0
         self._bad = 0
         self._logged = -math.inf
 
-    def take(self, server: Server, load: tuple[float, ...]) -> None:
+    def take(self, server: Server | None, load: tuple[float, ...]) -> None:
         """A report came with an answer or a probe; empty where there was none."""
-        if not load or not self.on:
+        if server is None or not load or not self.on:
             return
         if len(load) != self._columns or not (
             0.0 <= load[self._util] <= MOST_CORES and 0.0 <= load[self._held] <= MOST
@@ -82,19 +83,19 @@
             if server.load_at == at:
                 self.forget(server)
 
-    def utilisation(self, servers: int) -> float | None:
-        """How busy the cores of the fleet are, in the mean; None unless most of so many servers tell."""
+    def utilisation(self) -> float | None:
+        """How busy the cores of the fleet are, in the mean; None unless most of its servers tell."""
         self._age()
-        return self._util_sum / self._known if self.on and 2 * self._known > servers else None
+        return self._util_sum / self._known if self.on and 2 * self._known > self.servers else None
 
-    def temper(self, strain: float, pressure: float, servers: int) -> float:
-        """Strain as latencies tell it, seen beside the cores of so many servers; more than 1 cuts the limit.
+    def temper(self, strain: float, pressure: float) -> float:
+        """Strain as latencies tell it, seen beside the cores that are busy; more than 1 cuts the limit.
 
         Latencies rise by heavy work too, and with them one node of three had cut its limit to a third while
         the fleet had a fifth of its cores free.  Where they are far above their target (pressure is their
         ratio) it is not the cores of these servers that they wait for, and a limit still helps.
         """
-        busy = self.utilisation(servers)
+        busy = self.utilisation()
         if busy is None or SPARE <= busy <= FULL:
             return strain
         if busy > FULL:
--- a/tests/test_worth.py
+++ b/tests/test_worth.py
@@ -24,7 +24,11 @@
     Tenant,
     TimerFired,
 )
-from leadrudder.state.worth import KNOWN, Line, Worth
+from leadrudder.policy.admission import Admission
+from leadrudder.policy.attempts import Request
+from leadrudder.state.records import Turn
+from leadrudder.state.reports import Reports
+from leadrudder.state.worth import KNOWN, Appraisal, Line, Worth
 
 LIGHT = RequestClass("view", 600.0, 1500.0, worth=1.0)
 HEAVY = RequestClass("close", 1000.0, 3000.0, worth=2.0)
@@ -194,3 +198,21 @@
                 took = 1400.0 if slow else 40.0
                 node.handle(AttemptEnded(i, 0, action.server, Outcome.OK, took, True), now + 50.0)
     assert sent[0] > 100 and sent[1] > 290
+
+
+@pytest.mark.parametrize(("strain", "little", "most"), [(0.5, 9, 9), (0.85, 8, 9), (1.0, 7, 9), (2.0, 7, 9)])
+def test_places_are_kept_for_what_is_worth_most_the_more_strain_there_is(
+    strain: float, little: int, most: int
+) -> None:
+    turn = Turn(random.Random(1))
+    settings = Settings((HEAVY,))
+    admission = Admission(settings, turn, Reports(settings, turn))
+    admission._limit, admission._strain = 10.0, strain
+
+    def calls(worth: float) -> int:
+        """The most calls out with which one more of this worth still has room."""
+        value = Appraisal(1.0, 1.0, worth, False)
+        request = Request(1, HEAVY, 0, 0.0, 3000.0, value, 1, 0.9)
+        return max(out for out in range(12) if admission.has_room(request, out))
+
+    assert (calls(0.0), calls(HEAVY.worth)) == (little, most)
