--- a/tests/test_worth.py
+++ b/tests/test_worth.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 
 import pytest
@@ -134,10 +135,10 @@
         events.append((at, seq, Arrival(seq, kind, budget, cost_hint_ms=cost)))
     free = {bytes([i]): [0.0, 0.0] for i in range(2)}  # when each slot is free again
     told = {kind: [0, 0] for kind in kinds}
-    events.sort(key=lambda e: e[:2])
+    heapq.heapify(events)  # instant and number differ: events themselves are never compared
     answered: set[int] = set()
     while events:
-        now, _, event = events.pop(0)
+        now, _, event = heapq.heappop(events)
         late: list[tuple[float, int, Event]] = []
         for action in node.handle(event, now):
             seq += 1
@@ -157,8 +158,7 @@
             elif isinstance(action, Refuse | Fail):
                 answered.add(action.request)
         for each in late:
-            events.append(each)
-        events.sort(key=lambda e: e[:2])
+            heapq.heappush(events, each)
         if isinstance(event, Arrival):
             told[arrived[event.request][1]][1] += 1
         if isinstance(event, AttemptEnded) and event.finished:
