--- a/leadrudder/state/rings.py
+++ b/leadrudder/state/rings.py
@@ -1,8 +1,8 @@
 """Dealing the members of a fleet to many nodes: every member to as many nodes as any other.
 
-Deterministic subsetting, a plain computation: the nodes form turns, every turn has an order of the members of
-its own, by hash, and its nodes part that order among them.  A change of the list moves the bounds by less than
-a member.
+Deterministic subsetting, a plain computation: the nodes form turns, every turn has an order of the members
+of its own, by hash, and its nodes part that order among them.  A change of the list moves the bounds by less
+than a member.
 """
 
 from __future__ import annotations
@@ -17,8 +17,8 @@
 class Rings:
     """One node's part, kind by kind.
 
-    It was the next few from a place on a hash ring, as in consistent hashing: of 31 nodes before 51 servers one
-    kept to one server and seven to others, and each held calls in proportion (2.3 to 4.5 in the mean).
+    It was the next few from a place on a hash ring, as in consistent hashing: of 31 nodes before 51 servers
+    one kept to one server and seven to others, and each held calls in proportion (2.3 to 4.5 in the mean).
     """
 
     def __init__(self, ordinal: int, nodes: int, parts: int) -> None:
