--- a/leadrudder/simulation/command.py
+++ b/leadrudder/simulation/command.py
@@ -52,6 +52,7 @@
 @click.option("--steps", type=click.IntRange(1), default=100_000, show_default=True, help="Of each play.")
 @click.option("--nodes", type=click.IntRange(1, MOST_NODES), default=2, show_default=True, help="In front.")
 @click.option("--faults", callback=_kinds, default="", help="Draw only faults of these kinds: NAME,NAME.")
+@click.option("--heavy", is_flag=True, help="Sites near what a cold fleet bears.")
 @click.option("--trace", type=click.Path(path_type=Path), help="Write down what happens.")
 @click.option("--jobs", type=click.IntRange(1), default=os.cpu_count() or 1, help="Cores for --seeds.")
 @click.option("--list-faults", is_flag=True, help="Tell the kinds of faults, and end.")
@@ -63,6 +64,7 @@
     steps: int,
     nodes: int,
     faults: tuple[str, ...],
+    heavy: bool,
     trace: Path | None,
     jobs: int,
     list_faults: bool,
@@ -81,9 +83,11 @@
     if trace is not None and seeds is not None:
         raise click.UsageError("--trace is for one play, not for --seeds")
     if seeds is not None:
-        return _play_seeds([Setup(str(n), steps, nodes, faults) for n in range(*seeds)], seeds, jobs)
+        return _play_seeds(
+            [Setup(str(n), steps, nodes, faults, heavy=heavy) for n in range(*seeds)], seeds, jobs
+        )
     if shrinking is not None:
-        return _shrink(Setup(shrinking, steps, nodes, faults), trace)
+        return _shrink(Setup(shrinking, steps, nodes, faults, heavy=heavy), trace)
     expected: str | None = None
     if replay is not None:
         try:
@@ -92,7 +96,7 @@
             raise click.ClickException(str(error)) from None
     else:
         assert seed is not None
-        setup = Setup(seed, steps, nodes, faults)
+        setup = Setup(seed, steps, nodes, faults, heavy=heavy)
     result = _play_traced(setup, trace)
     code = _tell(result)
     if expected is not None and expected != result.digest:
@@ -131,6 +135,7 @@
         print(f"violation: {violation}")
     if result.violations:
         kinds = f" --faults {','.join(setup.kinds)}" if setup.kinds else ""
+        kinds += " --heavy" if setup.heavy else ""
         same = f"--seed {setup.seed} --steps {setup.steps} --nodes {setup.nodes}{kinds}"
         if setup.faults is None:
             print(f"replay: leadrudder simulate {same} --trace FILE")
--- a/leadrudder/simulation/faults.py
+++ b/leadrudder/simulation/faults.py
@@ -57,6 +57,7 @@
     "silent": Kind("machines vanish, 12% of a tier at once, and are back as cold processes", 1.5, 1000, 8000),
     "crash": Kind("a server's process dies and a cold one takes its place", 1.2, 200, 4000),
     "drain": Kind("a server drains, leaves and is replaced", 1.5, 500, 4000),
+    "release": Kind("half of a tier's servers are replaced by cold ones at once", 0.0, 500, 4000),
     "reuse": Kind("a server goes, and one of another name starts at its address", 1.0, 100, 2000),
     "slow": Kind("a server works many times slower", 1.2, 1000, 6000),
     "slow-all": Kind("every server of a tier works slower", 0.6, 1000, 5000),
@@ -94,7 +95,8 @@
     """Faults within a span of time; kinds: only of these. PlanError for a kind that is unknown."""
     allowed = check_kinds(kinds) or list(KINDS)
     rng = random.Random(f"{seed}/faults/{start_ms}")
-    weights = [KINDS[kind].weight for kind in allowed]
+    # One of no weight is drawn only when it is asked for by its name: seeds without it stay what they were.
+    weights = [KINDS[kind].weight or float(bool(kinds)) for kind in allowed]
     found = []
     for kind in rng.choices(allowed, weights, k=count):
         what = KINDS[kind]
--- a/leadrudder/simulation/injector.py
+++ b/leadrudder/simulation/injector.py
@@ -24,6 +24,7 @@
 DRAIN_S = 1.0  # that a draining server finishes what it has before it goes
 DISCOVERY_PORT = 8500
 TERM_ANNOUNCED_US = (200_000, 400_000)  # the front sends to a node for so long after its SIGTERM
+KILLED_MS = 3_700  # SIGKILL after SIGTERM at the earliest, as the platform's page has it
 DEAD_NOTICED_US = (920_000, 2_000_000)  # and to a dead one for so long
 
 
@@ -212,6 +213,19 @@
         server.loop.kill()
         self._for(fault.span_ms, partial(self._replace, server, fault, server.name))
 
+    def _release(self, fault: Fault) -> None:
+        """Half of a tier at once: what is left is warm, what comes is cold, and the load is what it was.
+
+        As releases do, it waits for what the last one has started.
+        """
+        world, servers = self._world, self._world.servers[self._tier(fault)]
+        if any(world.scheduler.now - server.started_us < server.cold_us for server in servers):
+            return
+        for server in servers[::2]:
+            name, _ = world.new_server_name(server.tier)
+            server.trouble.draining = True
+            self._replace(server, fault, name)
+
     def _reuse(self, fault: Fault) -> None:
         server = self._server(fault)
         if server is None:
@@ -357,15 +371,15 @@
 
         restarting = node
 
-        def again() -> None:
-            node = restarting
-            if node.loop is loop:
-                # SIGKILL comes later than the longest deadline: what it finds unanswered was taken and lost.
-                world.oracle.report("crash", f"{node.name} had not ended 5 s after SIGTERM")
-                return
-            self._start_again(node, known)
+        def killed() -> None:
+            if restarting.loop is loop:
+                # What SIGKILL finds unanswered was taken and lost.
+                world.oracle.report(
+                    "crash", f"{restarting.name} had not ended {KILLED_MS / 1000} s after SIGTERM"
+                )
 
-        self._later((5_000 + fault.span_ms) * 1000, again)
+        self._later(KILLED_MS * 1000, killed)
+        self._later((KILLED_MS + fault.span_ms) * 1000, partial(self._start_again, node, known))
 
     def _notice(self, node: NodeHost, span_us: tuple[int, int], fault: Fault) -> None:
         """The front stops sending there, after a while."""
--- a/leadrudder/simulation/oracle.py
+++ b/leadrudder/simulation/oracle.py
@@ -26,6 +26,7 @@
 from leadrudder.simulation.scheduler import MICROSECONDS, Scheduler
 
 TOLERANCE_US = 50_000
+LEFT_US = 10_000  # before its time is over, as its node counts it: a round trip, and less than nodes reserve
 REFUSALS = (429, 503)
 EARLY = (400, 404, 408, 409, 413)  # what cannot be taken: these may be told before a request is whole
 
@@ -86,6 +87,7 @@
     bodies: list[bytes] = field(default_factory=list)  # of servers' 200 answers
     answered: bool = False
     excused: bool = False  # the caller has left, or the network or a kill has cut it off
+    left_us: int = 0  # when the caller left, if nothing else excuses it
 
 
 @dataclass(slots=True, eq=False)
@@ -181,7 +183,7 @@
         if watch is None:
             return
         for owed in watch.open.values():
-            owed.excused = True
+            owed.excused, owed.left_us = True, 0
 
     def is_discovery(self, address: Address) -> None:
         self._discovery.add(address)
@@ -310,7 +312,8 @@
         if other is not None:
             other.left = True
             for owed in other.waiting:
-                owed.excused = True
+                if not owed.excused:
+                    owed.excused, owed.left_us = True, self._scheduler.now
 
     # ------------------------------------------------------------ callers' connections
 
@@ -346,6 +349,7 @@
     def _overdue(self, owed: Owed) -> None:
         """A request's time is over."""
         if owed.answered or owed.excused:
+            self._judge_leaving(owed)
             self._forget(owed)
             return
         loop = owed.node.loop
@@ -355,6 +359,16 @@
         self._forget(owed)
         self.report("lost", f"{_name(owed)} on {loop.name} got no answer within its time")
 
+    def _judge_leaving(self, owed: Owed) -> None:
+        """A caller who leaves when its time is over should have had its answer before.
+
+        Those who leave earlier, or whose request was long on its way, say nothing of the node.
+        """
+        over_us = owed.due_us - TOLERANCE_US
+        frozen = owed.node.loop.frozen_until + TOLERANCE_US >= over_us
+        if not owed.answered and owed.left_us >= over_us - LEFT_US and not frozen:
+            self.report("not-in-time", f"{_name(owed)} on {owed.node.loop.name} had no answer when it left")
+
     def _forget(self, owed: Owed) -> None:
         node, identity = owed.node, owed.frame.headers.get("x-request-id", "")
         if node.open.get(identity) is owed:
--- a/leadrudder/simulation/play.py
+++ b/leadrudder/simulation/play.py
@@ -27,6 +27,7 @@
     nodes: int = 2
     kinds: tuple[str, ...] = ()
     faults: tuple[Fault, ...] | None = None
+    heavy: bool = False  # requests of so much work that a cold server bears few of them
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +69,7 @@
         kinds=setup.kinds,
         faults=None if setup.faults is None else list(setup.faults),
         tap=tap,
+        heavy=setup.heavy,
     )
     try:
         while world.scheduler.steps < setup.steps and not world.violations:
--- a/leadrudder/simulation/site.py
+++ b/leadrudder/simulation/site.py
@@ -35,14 +35,21 @@
     reports: str = "off"  # of load, with answers: off, honest, or mixed with bad ones
 
     @classmethod
-    def draw(cls, seed: str, nodes: int) -> Site:
-        """A site of this many nodes in the front tier; what is left open comes from the seed."""
+    def draw(cls, seed: str, nodes: int, *, heavy: bool = False) -> Site:
+        """A site of this many nodes in the front tier; what is left open comes from the seed.
+
+        heavy: near what a cold fleet bears, so that rule 4 is put to the test: one tier, much work a request,
+        a long cold time, most of the capacity asked for.
+        """
         rng = random.Random(f"{seed}/site")
         tiers = rng.choices((1, 2, 3), (0.6, 0.3, 0.1))[0]
         first = rng.randint(3, 8) if tiers == 1 else rng.randint(2, 4)
         servers = tuple(first + rng.randint(0, 2) * tier for tier in range(tiers))
         work = rng.uniform(10.0, 40.0)
         load = rng.uniform(0.2, 0.7)
+        if heavy:
+            tiers, servers = 1, servers[:1]
+            work, load = 2.0 * work, 0.6 + 0.4 * load
         return cls(
             tiers=tiers,
             nodes=nodes,
@@ -52,7 +59,7 @@
             group=rng.choices(("all", "zone", "cell"), (0.6, 0.2, 0.2))[0],
             window_ms=rng.choice((7500.0, 7500.0, 1500.0)),
             attempts=rng.randint(2, 5),
-            cold_ms=rng.choice((1000.0, 4000.0, 8800.0)),
+            cold_ms=max(rng.choice((1000.0, 4000.0, 8800.0)), 4000.0 * heavy),
             conn_idle_ms=rng.choice((1000.0, 5000.0, 15000.0)),
             rate=load * first * 1000.0 / work / tiers,
             work_ms=work,
--- a/leadrudder/simulation/trace.py
+++ b/leadrudder/simulation/trace.py
@@ -37,6 +37,7 @@
                 "seed": setup.seed,
                 "steps": setup.steps,
                 "nodes": setup.nodes,
+                "heavy": setup.heavy,
                 "kinds": list(setup.kinds),
                 "plan": None if setup.faults is None else to_json(setup.faults),
             }
@@ -142,6 +143,7 @@
             int(head["nodes"]),
             tuple(str(kind) for kind in head["kinds"]),
             tuple(plan),
+            heavy=bool(head.get("heavy", False)),
         )
         return setup, str(last["end"]["digest"])
     except (KeyError, TypeError, ValueError, PlanError) as error:
--- a/leadrudder/simulation/world.py
+++ b/leadrudder/simulation/world.py
@@ -103,9 +103,10 @@
         faults: list[Fault] | None = None,
         kinds: tuple[str, ...] = (),
         tap: Callable[[World], Tap] | None = None,
+        heavy: bool = False,
     ) -> None:
         self.seed = seed
-        self.site = Site.draw(seed, nodes)
+        self.site = Site.draw(seed, nodes, heavy=heavy)
         self.scheduler = Scheduler(seed)
         self.oracle = Oracle(self.scheduler, self.site.terms())
         self.planned: list[Fault] = []  # those that were played so far
--- a/tests/simulation/plants.py
+++ b/tests/simulation/plants.py
@@ -27,7 +27,7 @@
     Settings,
     TimerFired,
 )
-from leadrudder.node import discovery, lists, servers
+from leadrudder.node import discovery, lists, node, servers
 from leadrudder.node.callers import Callers, HttpExchange
 from leadrudder.node.contract import Ask, Exchange
 from leadrudder.node.http import Message, Reader
@@ -231,6 +231,21 @@
     patch.setattr(Admission, "has_room", lambda *_: True)
 
 
+def cold_given_anything(patch: pytest.MonkeyPatch) -> None:
+    """A cold server gets its share of calls like any other."""
+    patch.setattr(Capacity, "allows", lambda *_: True)
+
+
+def answers_beyond_their_time(patch: pytest.MonkeyPatch) -> None:
+    """Requests are held 400 ms beyond their budget: their answers come when the caller has given up."""
+    patch.setattr(node, "RESERVE_MS", -400.0)
+
+
+def terms_without_end(patch: pytest.MonkeyPatch) -> None:
+    """What is taken after SIGTERM has all of its caller's time, however little is left to the node."""
+    patch.setattr(node, "LAST_S", 60.0)
+
+
 def timers_at_once(patch: pytest.MonkeyPatch) -> None:
     """As it was: a timer less than half a millisecond away fires at once, and is asked for again."""
 
@@ -275,10 +290,11 @@
     rules: frozenset[str]
     within: int
     kinds: tuple[str, ...] = ()
+    heavy: bool = False
 
 
-def _planted(plant: Plant, within: int, rules: str, kinds: str = "") -> Planted:
-    return Planted(plant, frozenset(rules.split()), within, tuple(kinds.split()))
+def _planted(plant: Plant, within: int, rules: str, kinds: str = "", *, heavy: bool = False) -> Planted:
+    return Planted(plant, frozenset(rules.split()), within, tuple(kinds.split()), heavy)
 
 
 PLANTS = [
@@ -286,7 +302,7 @@
     _planted(refusal_for_everything, 2, "refused-may-have-run"),
     _planted(drains_overlooked, 4, "drain"),
     _planted(group_forgotten, 4, "keyed-elsewhere effect-twice"),
-    _planted(reply_lost_at_the_deadline, 4, "lost leak", "hang slow coincide"),
+    _planted(reply_lost_at_the_deadline, 4, "lost leak not-in-time", "hang slow coincide"),
     _planted(surplus_taken_for_an_answer, 4, "untrue", "surplus"),
     _planted(reused_after_surplus, 4, "reused untrue", "surplus"),
     _planted(told_close_overlooked, 2, "reused", "close-told"),
@@ -301,6 +317,8 @@
     _planted(connects_left_behind, 12, "leak", "node-restart half-open silent"),
     _planted(fault_swallowed, 2, "exception"),
     _planted(cold_as_warm, 3, "cold-pushed", "silent drain"),
+    _planted(cold_given_anything, 6, "cold-pushed", "release", heavy=True),
+    _planted(answers_beyond_their_time, 4, "not-in-time lost", "hang slow-all"),
     _planted(reports_read_unguarded, 4, "exception lost"),
     _planted(timers_at_once, 2, "spin"),
     _planted(silent_watch_asked_anew, 4, "restless leak"),
--- a/tests/simulation/test_command.py
+++ b/tests/simulation/test_command.py
@@ -67,13 +67,13 @@
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str], tmp_path: Path
 ) -> None:
     reset_taken_for_never_ran(monkeypatch)
-    assert main(["simulate", "--seed", "2", "--steps", "8000"]) == 1
+    assert main(["simulate", "--seed", "5", "--steps", "8000"]) == 1
     out = capsys.readouterr().out
     assert "violation: unsafe-repeated at " in out
-    assert "replay: leadrudder simulate --seed 2 --steps 8000 --nodes 2 --trace FILE" in out
+    assert "replay: leadrudder simulate --seed 5 --steps 8000 --nodes 2 --trace FILE" in out
     assert _last(out)[3] == "1"
     least = tmp_path / "least"
-    assert main(["simulate", "--shrink", "2", "--steps", "8000", "--trace", str(least)]) == 1
+    assert main(["simulate", "--shrink", "5", "--steps", "8000", "--trace", str(least)]) == 1
     out = capsys.readouterr().out
     assert "matters: " in out and "cut down from " in out
     assert main(["simulate", "--replay", str(least)]) == 1
--- a/tests/simulation/test_faults.py
+++ b/tests/simulation/test_faults.py
@@ -19,7 +19,10 @@
 
 
 def test_every_kind_is_drawn_sooner_or_later_and_can_be_injected() -> None:
-    assert {fault.kind for fault in draw("a", 0, 10_000, 3000)} == set(KINDS)
+    usual = {kind for kind, what in KINDS.items() if what.weight}
+    assert {fault.kind for fault in draw("a", 0, 10_000, 3000)} == usual
+    asked = set(KINDS) - usual
+    assert asked and {fault.kind for fault in draw("a", 0, 1000, 50, tuple(asked))} == asked
     for kind in KINDS:
         assert callable(getattr(Injector, "_" + kind.replace("-", "_")))
 
--- a/tests/simulation/test_hard_cases.py
+++ b/tests/simulation/test_hard_cases.py
@@ -7,6 +7,7 @@
 from leadrudder.simulation.faults import Fault
 from leadrudder.simulation.play import Result, Setup, play
 from leadrudder.simulation.world import World
+from tests.simulation.plants import terms_without_end
 
 SEEDS = range(1, 5)
 
@@ -68,6 +69,23 @@
     assert not result.violations, result.violations
 
 
+TAKEN_BEFORE_TERM = (
+    *(("hang", 600 + i, i, 6000, 0.5) for i in range(8)),
+    ("node-restart", 900, 0, 300, 1.0),
+    ("node-restart", 1000, 1, 300, 1.0),
+)
+
+
+def test_what_hangs_at_sigterm_is_answered_before_sigkill(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Callers wait up to 4 s, and SIGKILL comes after 3.7: without a bound of its own the node is caught."""
+    for seed in (4, 5, 6):
+        result = _play(seed, *TAKEN_BEFORE_TERM)
+        assert not result.violations, result.violations
+    terms_without_end(monkeypatch)
+    found = [_play(seed, *TAKEN_BEFORE_TERM).violations for seed in (4, 5, 6)]
+    assert all(violations and violations[0].rule == "crash" for violations in found), found
+
+
 def test_a_world_is_empty_after_its_end() -> None:
     world = World("1")
     world.play(3000)
--- a/tests/simulation/test_plants.py
+++ b/tests/simulation/test_plants.py
@@ -11,7 +11,7 @@
 
 
 def _setup(planted: Planted, seed: int) -> Setup:
-    return Setup(str(seed), STEPS, kinds=planted.kinds)
+    return Setup(str(seed), STEPS, kinds=planted.kinds, heavy=planted.heavy)
 
 
 @pytest.mark.parametrize("planted", PLANTS, ids=lambda planted: planted.plant.__name__)
@@ -28,11 +28,13 @@
 
 
 @pytest.mark.parametrize(
-    "kinds", sorted({planted.kinds for planted in PLANTS}), ids=lambda k: "-".join(k) or "all"
+    "kinds, heavy",
+    sorted({(planted.kinds, planted.heavy) for planted in PLANTS}),
+    ids=lambda value: "-".join(value) or "all" if isinstance(value, tuple) else "heavy" * value,
 )
-def test_the_node_as_it_is_breaks_no_rule_on_the_same_seeds(kinds: tuple[str, ...]) -> None:
-    most = max(planted.within for planted in PLANTS if planted.kinds == kinds)
+def test_the_node_as_it_is_breaks_no_rule_on_the_same_seeds(kinds: tuple[str, ...], heavy: bool) -> None:
+    most = max(planted.within for planted in PLANTS if (planted.kinds, planted.heavy) == (kinds, heavy))
     for seed in range(1, most + 1):
-        result = play(Setup(str(seed), STEPS, kinds=kinds))
+        result = play(Setup(str(seed), STEPS, kinds=kinds, heavy=heavy))
         assert not result.violations, (seed, result.violations)
         assert result.counts["taken"] > 50 and result.counts["served"] > 20, result.counts
--- a/tests/simulation/test_shrink.py
+++ b/tests/simulation/test_shrink.py
@@ -31,7 +31,7 @@
 def test_a_failing_play_is_cut_down_to_the_faults_that_matter(monkeypatch: pytest.MonkeyPatch) -> None:
     reset_taken_for_never_ran(monkeypatch)
     lines: list[str] = []
-    found = shrink(Setup("2", 8000), lines.append)
+    found = shrink(Setup("5", 8000), lines.append)
     assert found is not None and lines
     whole, least = found
     assert least.violations[0].rule == whole.violations[0].rule == "unsafe-repeated"
