--- a/leadrudder/experiment/callers.py
+++ b/leadrudder/experiment/callers.py
@@ -110,6 +110,14 @@
         self._back_off, self._honour = number(callers.back_off_ms), number(callers.honour)
         self._notice = 1000.0 * number(callers.notice_s)
         self._shunned: dict[int, float] = {}  # front nodes that callers know to be gone, until when
+        self._hot = self._weights(random.Random(f"{seed}/hot"))  # what each front node gets; empty: all alike
+
+    def _weights(self, rng: random.Random) -> list[float]:
+        nodes = len(self._fleet.front)
+        hot = round(number(self._file.fleet.hot) * nodes)
+        weights = [number(self._file.fleet.hot_times)] * hot + [1.0] * (nodes - hot)
+        rng.shuffle(weights)
+        return weights if hot else []
 
     def _rate_per_ms(self) -> float:
         load = self._file.load
@@ -239,7 +247,10 @@
         if self._shunned:
             self._shunned = {i: until for i, until in self._shunned.items() if until > now}
             usable = [i for i in usable if i not in self._shunned] or usable
-        index = self._rng.choice(usable)
+        if self._hot:
+            index = self._rng.choices(usable, [self._hot[i] for i in usable])[0]
+        else:
+            index = self._rng.choice(usable)
         return index, front[index]
 
     def shun(self, index: int, until: float) -> None:
--- a/leadrudder/experiment/fleet.py
+++ b/leadrudder/experiment/fleet.py
@@ -108,7 +108,14 @@
         self._noises = [number(c.noise) for c in file.request_class]
         self._noise_rng = random.Random(f"{seed}/noise")
         self._terms = [
-            Terms(node.fall_times, 1000.0 * node.fall_s, self._slowing(tier), tier.reports)
+            Terms(
+                node.fall_times,
+                1000.0 * node.fall_s,
+                self._slowing(tier),
+                tier.reports,
+                number(tier.connections),
+                number(tier.handshake_ms),
+            )
             for i, tier in enumerate(file.fleet.tier)
         ]
         self._tiers: list[dict[bytes, Server]] = [
@@ -162,11 +169,17 @@
             self._way,
             spec.connect_ms,
             spec.drain_grace_ms,
+            1000.0 * self.file.fleet.tier[tier].idle_s if self._capped(tier) else 0.0,
         )
         self._ordinals[node] = ordinal
         self.registries[tier].join(node)
         return node
 
+    def _capped(self, tier: int) -> bool:
+        """Whether connections count there."""
+        spec = self.file.fleet.tier[tier]
+        return number(spec.connections) > 0.0 or number(spec.handshake_ms) > 0.0
+
     def close(self) -> None:
         """The run is over."""
 
--- a/leadrudder/experiment/node.py
+++ b/leadrudder/experiment/node.py
@@ -14,6 +14,7 @@
 
 from leadrudder import interface as api
 from leadrudder.experiment.clock import Clock, Entry
+from leadrudder.experiment.connections import Connections
 from leadrudder.experiment.server import Server
 from leadrudder.interface import Outcome
 
@@ -148,6 +149,7 @@
     """One attempt on its way, at its server, or on its way back. It is the server's Call."""
 
     __slots__ = (
+        "_connected",
         "_node",
         "_timer",
         "arrived",
@@ -167,7 +169,7 @@
         self.number = number
         self.server = server
         self.sent = node.clock.now
-        self.ended = self.arrived = False
+        self.ended = self.arrived = self._connected = False
         self._timer: Entry | None = None
         self.behind_it: Callable[[], None] | None = None  # withdraws the call to the tier behind
         noise = node.fleet.noise(taken.ask.class_index)
@@ -191,7 +193,12 @@
             node.clock.after(node.way(server), self.end, Outcome.CONNECT_FAILED)
             return
         node.connected.add(server.name)
-        self.arrived = True
+        opening = node.connections.take(server)
+        if opening is None:
+            self.answer(Outcome.FULL, ())
+            return
+        self.work_ms += opening
+        self.arrived = self._connected = True
         server.offer(self)
 
     # What the server asks and tells.
@@ -225,7 +232,10 @@
         self.ended = True
         if self._timer is not None:
             self._timer.cancel()
-        if outcome in (Outcome.TIMEOUT, Outcome.CANCELLED) and self.arrived:
+        given_up = outcome in (Outcome.TIMEOUT, Outcome.CANCELLED)
+        if self._connected:
+            self._node.connections.give_back(self.server, whole=not given_up)
+        if given_up and self.arrived:
             self._node.clock.after(self._node.way(self.server), self.server.cancel, self)
         self._node.attempt_ended(self, outcome, load)
 
@@ -282,10 +292,12 @@
         way: Callable[[int, int], float],
         connect_ms: float,
         grace_ms: float,
+        idle_ms: float = 0.0,
     ) -> None:
         self.clock, self.fleet, self.tier, self.zone = clock, fleet, tier, zone
         self.effects, self.connect_ms = effects, connect_ms
         self.connected: set[bytes] = set()
+        self.connections = Connections(clock, idle_ms)
         self.alive = True
         self._decider = decider
         self._counts = counts
@@ -381,6 +393,7 @@
             self.fleet.listing(self)
         elif isinstance(action, api.CloseIdle):
             self.connected.discard(action.server)
+            self.connections.close_idle(self._servers[action.server])
         elif isinstance(action, api.Probe):
             self._probe(action.server)
 
@@ -431,6 +444,7 @@
     def stop(self) -> None:
         """The process ends at once; what it held is lost with it, and its servers see their callers leave."""
         self.alive = False
+        self.connections.close()
         for attempt in list(self._calls.values()):
             attempt.end(Outcome.CANCELLED)
         self._calls.clear()
--- a/leadrudder/experiment/server.py
+++ b/leadrudder/experiment/server.py
@@ -70,6 +70,8 @@
     fall_ms: float = 1000.0
     slowing: Slowing | None = None
     reports: Reports | None = None
+    connections: float = 0.0  # for each core; 0: any number
+    handshake_ms: float = 0.0
 
 
 class Server:
@@ -85,6 +87,9 @@
         self.cores = kind.cores
         self._slots = int(number(kind.slots)) * kind.cores
         self._queue_most = int(number(kind.queue) * kind.cores)
+        self.connections = 0  # that all nodes hold here
+        self.connections_most = terms.connections * kind.cores or math.inf
+        self.handshake_ms = terms.handshake_ms
         self._thrash, self._thrash_at = number(kind.thrash), number(kind.thrash_at) * kind.cores
         self._errors = number(kind.errors)
         self._queue: deque[Job] = deque()
@@ -398,6 +403,7 @@
         self.alive, self.vanished, self.draining, self.hung = True, False, False, False
         self.started_ms = max(self.clock.now, 1e-3) if cold else 0.0
         self.slow_times = 1.0
+        self.connections = 0
         self._at = self.clock.now
         self._warm_up()
 
--- a/leadrudder/experiment/spec.py
+++ b/leadrudder/experiment/spec.py
@@ -94,6 +94,11 @@
     work: PositiveDrawn = Field(default=1.0, description="part of a request's work; scaled to sum to 1")
     calls: AmountDrawn = Field(default=1.0, description="mean calls of a request of the tier before")
     cell: CountDrawn = Field(default=4, description="servers that form a cell")
+    connections: AmountDrawn = Field(
+        default=0.0, description="that a server holds, for each core; 0: any number"
+    )
+    handshake_ms: AmountDrawn = Field(default=0.0, description="work of a new connection")
+    idle_s: Positive = Field(default=30.0, description="after which a server closes an idle one")
     kind: list[Kind] = Field(min_length=1)
     slowing: Slowing | None = None
     reports: Reports | None = None
@@ -201,6 +206,10 @@
 
 class Fleet(Section):
     nodes: CountDrawn = Field(default=1, description="before the first tier")
+    hot: PartDrawn = Field(
+        default=0.0, description="part of them that callers bring more to than to the others"
+    )
+    hot_times: TimesDrawn = Field(default=4.0, description="so many times as much")
     tier: list[Tier] = Field(min_length=1, max_length=8)
     network: Network = Network()
     lists: Lists = Lists()
