--- a/leadrudder/interface.py
+++ b/leadrudder/interface.py
@@ -160,6 +160,9 @@
 # ---------------------------------------------------------------- events
 
 
+UNTOLD = -1  # a zone or cell that the list does not name
+
+
 @dataclass(frozen=True, slots=True)
 class ServerEntry:
     """A row of the server list.  started_ms 0 means long ago."""
--- a/leadrudder/node/lists.py
+++ b/leadrudder/node/lists.py
@@ -16,7 +16,7 @@
 from typing import Any, cast
 from zlib import crc32
 
-from leadrudder.interface import ListKind, Readiness, ServerEntry, ServerId, ServerList
+from leadrudder.interface import UNTOLD, ListKind, Readiness, ServerEntry, ServerId, ServerList
 
 log = logging.getLogger(__name__)
 
@@ -98,8 +98,8 @@
             readiness=_LIFECYCLES[item["lifecycle"]],
             capacity_hint=float(item.get("weight", 1.0)),
             kind=_number(self.models, item.get("machineType", "")),
-            zone=_number(self.zones, item.get("zone", "")),
-            cell=_number((), item.get("cell", 0)),
+            zone=_place(self.zones, item.get("zone")),
+            cell=_place((), item.get("cell")),
             started_ms=float(item.get("startedAtMs", 0)),
         )
 
@@ -192,6 +192,11 @@
         log.warning("discovery: %d entries have a weight that is no positive number; the least counts", odd)
 
 
+def _place(names: tuple[str, ...], name: Any) -> int:
+    """A zone or a cell; one that is not told is none, and not the same as another's that is not told."""
+    return UNTOLD if name is None or name == "" else _number(names, name)
+
+
 def _number(names: tuple[str, ...], name: Any) -> int:
     """A name that the settings do not list still tells its servers from the others.
 
--- a/leadrudder/policy/attempts.py
+++ b/leadrudder/policy/attempts.py
@@ -69,9 +69,10 @@
     if kind.effect is api.Effect.UNSAFE or now - risky.sent >= kind.window_ms - settings.tick_ms:
         return False
     first = risky.entry
+    # Servers whose place no list tells may lie anywhere: no group is known to drop their repeats.
     if kind.group is api.RepeatGroup.ZONE:
-        return entry.zone == first.zone
-    return kind.group is api.RepeatGroup.ALL or entry.cell == first.cell
+        return entry.zone == first.zone != api.UNTOLD
+    return kind.group is api.RepeatGroup.ALL or entry.cell == first.cell != api.UNTOLD
 
 
 def may_go_on(request: Request, servers: Sequence[Server], settings: api.Settings, now: float) -> bool:
--- a/leadrudder/policy/placement.py
+++ b/leadrudder/policy/placement.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Callable, Sequence
 
-from leadrudder.interface import Effect, ServerId, ServerList, Settings
+from leadrudder.interface import UNTOLD, Effect, ServerId, ServerList, Settings
 from leadrudder.looks import Look
 from leadrudder.policy.attempts import permitted
 from leadrudder.policy.automaton import Automaton
@@ -100,7 +100,7 @@
             self.automaton.newcomers.begin(len(self.arms))
 
     def _is_near(self, server: Server) -> bool:
-        return not self._settings.cross_zone_price or server.entry.zone == self._settings.zone
+        return not self._settings.cross_zone_price or server.entry.zone in (self._settings.zone, UNTOLD)
 
     def _leave(self, server: Server, whole: bool) -> None:
         self.count(server, -1)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,10 +9,21 @@
 
 import pytest
 
-from leadrudder.interface import Effect, ListKind, Readiness
+from leadrudder.interface import (
+    UNTOLD,
+    Effect,
+    ListKind,
+    Outcome,
+    Readiness,
+    RepeatGroup,
+    RequestClass,
+    Settings,
+)
 from leadrudder.node.config import ConfigError, load
 from leadrudder.node.lists import ListError, Naming
 from leadrudder.node.node import Clock
+from leadrudder.policy.attempts import Attempt, Request, permitted
+from leadrudder.state.worth import Appraisal
 from tests.stubs import listing, row, settings
 
 
@@ -126,3 +137,19 @@
         "discovery: 1 entries of a list repeat others; the last counts",
         "discovery: 1 entries have a weight that is no positive number; the least counts",
     ]
+
+
+def test_a_list_without_zones_and_cells_tells_no_place() -> None:
+    """Two servers without a zone were taken for two of one zone, and a keyed request went from one to the other:
+    its effect may happen twice."""
+    rows = [row("a", "127.0.0.1:1"), row("b", "127.0.0.1:2"), row("c", "127.0.0.1:3")]
+    del rows[0]["zone"], rows[0]["cell"]
+    rows[1]["zone"] = ""
+    a, b, c = Naming(("hall",), ("std",)).read(listing(7, *rows)).entries
+    assert (a.zone, b.zone, c.zone) == (UNTOLD, UNTOLD, 0) and a.cell == UNTOLD != b.cell
+    for group in (RepeatGroup.ZONE, RepeatGroup.CELL):
+        kind = RequestClass("move", 1000, 3000, effect=Effect.KEYED, group=group, window_ms=5000.0)
+        for first, second, allowed in ((a, a, False), (a, b, False), (c, c, True)):
+            request = Request(1, kind, 0, 0.0, 3000.0, Appraisal(1.0, 1.0, 1.0, False), 1, 0.5)
+            request.attempts.append(Attempt(first, 0.0, ended=Outcome.RESET))
+            assert permitted(request, second, Settings(classes=(kind,)), 10.0) is allowed, (group, first)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -305,7 +305,7 @@
     run(main())
 
 
-@pytest.mark.parametrize("breaks", ["reset", "bad line", "bad list"])
+@pytest.mark.parametrize("breaks", ["reset", "bad line", "bad list", "half a line", "half a chunk"])
 def test_a_broken_watch_is_a_failed_list_and_is_asked_for_again_from_where_it_was(breaks: str) -> None:
     async def main() -> None:
         async with (
@@ -317,6 +317,12 @@
             if breaks == "reset":
                 await watch.drain()
                 watch.close()
+            elif breaks.startswith("half"):
+                part = b'{"generation":42,"reset":true,"instances":[{"instanceId":"b"'
+                size = len(part) + (200 if breaks == "half a chunk" else 0)
+                watch.write(b"%x\r\n%s" % (size, part) + (b"\r\n" if size == len(part) else b""))
+                await watch.drain()
+                watch.close()
             else:
                 tell(watch, b"{nonsense" if breaks == "bad line" else b'{"generation":42,"reset":true}')
             again = await w.discovery.watch()
