--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -140,8 +140,8 @@
 
 
 def test_a_list_without_zones_and_cells_tells_no_place() -> None:
-    """Two servers without a zone were taken for two of one zone, and a keyed request went from one to the other:
-    its effect may happen twice."""
+    """Two servers without a zone were taken for two of one zone, and a keyed request went from one to the
+    other: its effect may happen twice."""
     rows = [row("a", "127.0.0.1:1"), row("b", "127.0.0.1:2"), row("c", "127.0.0.1:3")]
     del rows[0]["zone"], rows[0]["cell"]
     rows[1]["zone"] = ""
