--- a/leadrudder/simulation/command.py
+++ b/leadrudder/simulation/command.py
@@ -15,7 +15,7 @@
 from leadrudder.simulation.trace import TraceError, Writer, read
 
 PROGRESS_S = 1.0
-MOST_NODES = 16
+MOST_NODES = 64
 FINDINGS = 1
 
 
