--- a/leadrudder/station/outbound.py
+++ b/leadrudder/station/outbound.py
@@ -181,6 +181,8 @@
         self.limits = limits
         self.clients: dict[Client, None] = {}
         self.closing = False
+        self.last_taken = math.inf  # from then on only requests are taken whose time is over before end_by
+        self.end_by = math.inf  # when every answer must have gone out
         self.informed = False  # a configuration is known: until then nothing says that there is no route
         self.last_heard = 0.0
         self.open = 0  # requests that are owed an answer
@@ -240,6 +242,8 @@
         if told is not None and (not _NUMBER.fullmatch(told) or b"time-left" in message.repeated):
             return self._plain(write, 400)
         left_ms = min(route.give_up_ms, float(told) if told is not None else route.give_up_ms)
+        if self.now() > self.last_taken and self.now() + left_ms / 1000.0 > self.end_by:
+            return self._plain(write, 503, COME_BACK)
         size = len(message.body)
         if not self._room() or (size > SMALL and self._held_sum + size > self._most_held):
             return self._plain(write, 503, COME_BACK)
--- a/leadrudder/station/program.py
+++ b/leadrudder/station/program.py
@@ -48,6 +48,8 @@
 LEAST_LEAVING_S = 2.4  # after SIGTERM: until then clients still come
 QUIET_S = 0.3
 GRACE_PART_S = 0.6  # of the grace, kept for the end itself
+ANSWERS_OUT_S = 0.2  # before that end, by which the last answers are to be out
+FIRST_HALF_PART_S = 0.1  # before the half of the grace, from when on a request must end within it
 
 
 class Station:
@@ -443,6 +445,9 @@
             return
         self.ring.say(f"ends: {self._outbound.open} requests open, {self.gate.running} at our server")
         self._terminated_at = self._loop.time()
+        grace_s = self.settings.bounds.grace / 1000.0
+        self._outbound.last_taken = self._terminated_at + grace_s / 2.0 - FIRST_HALF_PART_S
+        self._outbound.end_by = self._terminated_at + grace_s - GRACE_PART_S - ANSWERS_OUT_S
         self.gate.leaving = True
         self._outbound.closing = True
         self._report()
