Orders over several sections: versions reserved in one order, and never refused once a part was taken

Read besides: a call of which one part stood, and whose other version another operator had taken after an owner was lost, got 409. Change: owners are asked in rising order of sections; parts are made only while their versions are reserved for that very call (its id is a digest of its contents, kept with the item); before 409 is said every owner withdraws the call and says whether it had taken a part: then 503.

--- a/leadrudder/interlocking/outputs.py
+++ b/leadrudder/interlocking/outputs.py
@@ -22,7 +22,8 @@
     DONE = 0  # it stands
     CONFLICT = 1  # its version has another value already
     BUSY = 2  # not now: no majority, or the owner is changing
-    HELD = 3  # a check: it would be taken
+    RESERVED = 3  # a check: it would be taken, and its versions are kept for it for a moment
+    PARTLY_TAKEN = 4  # a withdrawal: a part of the call has its place, so the call must not be refused
 
 
 @dataclass(frozen=True, slots=True)
--- a/leadrudder/interlocking/owner.py
+++ b/leadrudder/interlocking/owner.py
@@ -20,7 +20,8 @@
 AGAIN_S = 0.25  # pause after a claim that failed, and up to as much again
 SETTLED_S = 0.2  # an owner that was lost for less may come back
 TWO_OTHERS_S = 0.25  # to wait for a second copy elsewhere once a majority has it
-HOLD_S = 1.0  # a version that was checked is kept for its call so long
+RESERVED_S = 1.0  # a version that was checked is kept for its call so long
+WITHDRAWN_S = 3.0  # late asks of a call that was withdrawn are turned away for so long
 EVEN_EACH_S = 1.0  # between sections that are handed over
 SETTLE_EACH_S = 0.2  # how often it is looked for what was left half done
 COPY_AGAIN_S = 0.7  # a copy that was not answered is sent again
@@ -66,7 +67,9 @@
         self._seen: set[int] = set()  # sections whose owner has told us what stands, since we started
         self._settled = 0.0  # when it was last looked for what was left half done
         self._evened = 0.0  # when we last handed a section over
-        self._held: dict[tuple[str, int], tuple[bytes, float]] = {}  # checked for a call: value, until
+        # Versions checked for a call over several sections: by key and version, its id, and until when.
+        self._reserved: dict[tuple[str, int], tuple[int, float]] = {}
+        self._withdrawn: dict[int, float] = {}  # calls refused elsewhere, by id, and until when that is kept
 
     def complete(self) -> bool:
         """Whether all that stands has been told to this process: an owner says so after what it found."""
@@ -120,8 +123,7 @@
                 copying.sent = now
                 self._send_copies(number, copying, [v for v in voters if v not in copying.have])
             self._conclude(number, copying)
-        for key in [k for k, (_, until) in self._held.items() if now >= until]:
-            del self._held[key]
+        self._forget_reserved(now)
         self._settle_found()
         self._even_out(voters)
 
@@ -329,7 +331,6 @@
     # ------------------------------------------------------------ changes
 
     def on_ask(self, peer: str, ask: wire.Ask) -> None:
-        machine = self._machine
         state = self.sections.get(ask.section)
         if state is None:
             self.claim(ask.section)
@@ -343,17 +344,21 @@
             else:
                 self._told(peer, ask.number, Code.BUSY)
             return
+        if ask.withdraw:
+            self._withdraw(peer, ask)
+            return
         code, new, waits = self._weigh(ask)
         if code is not Code.DONE or ask.only_check:
             if code is Code.DONE:
-                until = machine.turn.now + HOLD_S
-                for item in new:
-                    self._held[item.key, item.version] = (item.value, until)
-                code = Code.HELD
+                self._reserve(new)
+                code = Code.RESERVED
             self._told(peer, ask.number, code, self._current(ask.items))
             return
+        if ask.reserved and not all(self._is_reserved(item) for item in new):
+            self._told(peer, ask.number, Code.BUSY)
+            return
         for item in new:
-            self._held.pop((item.key, item.version), None)
+            self._reserved.pop((item.key, item.version), None)
         # Also what was taken before: under an earlier owner's epoch it could yet give way to another's.
         for item in new + waits:
             item.epoch = state.epoch
@@ -363,15 +368,51 @@
         # What was taken before and does not stand yet is copied with it: all or none is acknowledged.
         self._copy(ask.section, new + waits, asked=(peer, ask.number))
 
+    def _reserve(self, items: Iterable[Item]) -> None:
+        """A call that was withdrawn may be checked, so that it is refused again, but is never made."""
+        until = self._machine.turn.now + RESERVED_S
+        for item in items:
+            if item.call not in self._withdrawn:
+                self._reserved[item.key, item.version] = (item.call, until)
+
+    def _is_reserved(self, item: Item) -> bool:
+        """For the very call that the item is of."""
+        return self._reserved.get((item.key, item.version), (0, 0.0))[0] == item.call
+
+    def _forget_reserved(self, now: float) -> None:
+        for key in [k for k, (_, until) in self._reserved.items() if now >= until]:
+            del self._reserved[key]
+        for call in [c for c, until in self._withdrawn.items() if now >= until]:
+            del self._withdrawn[call]
+
+    def _withdraw(self, peer: str, ask: wire.Ask) -> None:
+        """Another section's owner has refused its part of a call: no part is taken here from now on.
+
+        Answers PARTLY_TAKEN where one has been already, whether it stands yet or not.
+        """
+        now = self._machine.turn.now
+        for item in ask.items:
+            self._withdrawn[item.call] = now + WITHDRAWN_S
+            if self._is_reserved(item):
+                del self._reserved[item.key, item.version]
+        taken = any(self._is_taken(item) for item in ask.items)
+        self._told(peer, ask.number, Code.PARTLY_TAKEN if taken else Code.DONE)
+
+    def _is_taken(self, item: Item) -> bool:
+        """Whether the very call that an item is of gave its version the value that the version has."""
+        latest = self._latest(item.key)
+        return latest is not None and (latest.version, latest.call) == (item.version, item.call)
+
     def _weigh(self, ask: wire.Ask) -> tuple[Code, list[Item], list[Item]]:
         """What an ask comes to: the items that are new, and those taken before that do not stand yet."""
         machine = self._machine
-        new, waits = [], []
+        new: list[Item] = []
+        waits: list[Item] = []
         for item in ask.items:
             old = self._latest(item.key)
             if old is None or item.version > old.version:
-                held = self._held.get((item.key, item.version))
-                if held is not None and held[0] != item.value:
+                reserved_for = self._reserved.get((item.key, item.version), (item.call, 0.0))[0]
+                if reserved_for != item.call:
                     return Code.BUSY, [], []
                 fresh = Item()
                 fresh.CopyFrom(item)
@@ -383,7 +424,10 @@
             other = (item.value, item.dropped) != (old.value, old.dropped)
             if other and (item.version == old.version or item.key.startswith(ORDERS)):
                 # For an order: its count has moved on.
-                return (Code.CONFLICT if stands else Code.BUSY), [], []
+                if not stands:
+                    return Code.BUSY, [], []
+                taken = any(self._is_taken(each) for each in ask.items)
+                return (Code.PARTLY_TAKEN if taken else Code.CONFLICT), [], []
             if not stands:
                 again = Item()
                 again.CopyFrom(old)
--- a/leadrudder/interlocking/requests.py
+++ b/leadrudder/interlocking/requests.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from enum import Enum, auto
 from typing import TYPE_CHECKING
 
 from leadrudder.interlocking.outputs import Code
@@ -16,21 +18,44 @@
     from leadrudder.interlocking.machine import Interlocking
 
 CHANGE_S = 0.9  # an operator waits a second
+ASK_AGAIN_S = 0.1  # an owner that could not answer is asked again after so long
 READ_S = 0.9
 READ_AGAIN_S = 0.06  # where a change is under way: it will stand, or be seen not to
 SETTLE_AFTER = 4  # reads, after which the section is claimed so that what was left half done stands
 
 
+class Phase(Enum):
+    """Where a call over several sections stands. One within a single section is made at once."""
+
+    RESERVE = auto()  # its versions are reserved, section by section in rising order
+    MAKE = auto()  # all are reserved: the owners take their parts
+    WITHDRAW = auto()  # an owner refused its part: is any other part taken?
+
+
 @dataclass(slots=True)
 class Change:
-    """A call of an operator's: checked with every owner where there are several, then made."""
+    """An operator's call.
+
+    Reserving in one order everywhere keeps two calls that share several versions from each holding a part
+    that the other waits for, without end.
+    """
 
     number: int
     parts: dict[int, list[Item]]
     until: float
-    checking: bool
+    phase: Phase
+    to_reserve: list[int] = field(default_factory=list)  # sections that are not reserved yet, in order
     asked: dict[int, int] = field(default_factory=dict)  # numbers of asks that are out, and their sections
     again: list[tuple[float, int]] = field(default_factory=list)  # sections to be asked again, and when
+    conflicts: list[Item] = field(default_factory=list)  # what stands where a part was refused
+
+
+def call_id(items: Iterable[Item]) -> int:
+    """64 bits that are the same for each try of a call, by its contents, and for no other call."""
+    seal = hashlib.blake2b(digest_size=8)
+    for item in sorted(items, key=lambda item: item.key):
+        seal.update(f"{item.key}|{item.version}|{item.dropped}|{len(item.value)}|".encode() + item.value)
+    return int.from_bytes(seal.digest(), "big") or 1
 
 
 @dataclass(slots=True)
@@ -81,27 +106,59 @@
     # ------------------------------------------------------------ changes
 
     def change(self, number: int, items: list[Item]) -> None:
+        identity = call_id(items)
         parts: dict[int, list[Item]] = {}
         for item in items:
+            item.call = identity
             parts.setdefault(self._machine.section_of(item.key), []).append(item)
-        change = Change(number, parts, self._machine.turn.now + CHANGE_S, checking=len(parts) > 1)
+        several = len(parts) > 1
+        change = Change(
+            number, parts, self._machine.turn.now + CHANGE_S, Phase.RESERVE if several else Phase.MAKE
+        )
         self._changes[number] = change
         if not parts:
             self._end(change, Code.DONE)
-        for section in parts:
+        elif several:
+            self._reserve_all(change)
+        else:
+            self._make_all(change)
+
+    def _reserve_all(self, change: Change) -> None:
+        """From the first section on, also where a later owner has forgotten what was reserved with it."""
+        change.phase = Phase.RESERVE
+        self._forget_asks(change)
+        change.to_reserve = sorted(change.parts)
+        self._ask(change, change.to_reserve[0])
+
+    def _make_all(self, change: Change) -> None:
+        change.phase = Phase.MAKE
+        for section in change.parts:
+            self._ask(change, section)
+
+    def _withdraw_all(self, change: Change, conflicts: Iterable[Item]) -> None:
+        change.phase = Phase.WITHDRAW
+        change.conflicts = list(conflicts)
+        self._forget_asks(change)
+        for section in change.parts:
             self._ask(change, section)
 
     def _ask(self, change: Change, section: int) -> None:
         machine = self._machine
         holder = machine.owner.holder(section)
         if holder is None:
-            change.again.append((machine.turn.now + 0.1, section))
+            change.again.append((machine.turn.now + ASK_AGAIN_S, section))
             return
         number = self._next()
         change.asked[number] = section
         self._asks[number] = change
         ask = wire.Ask(
-            number=number, section=section, items=change.parts[section], only_check=change.checking
+            number=number,
+            section=section,
+            items=change.parts[section],
+            only_check=change.phase
+            is not Phase.MAKE,  # an earlier release takes nothing at a withdrawal, too
+            reserved=change.phase is Phase.MAKE and len(change.parts) > 1,
+            withdraw=change.phase is Phase.WITHDRAW,
         )
         machine.send(holder, Frame(ask=ask))
 
@@ -111,24 +168,51 @@
             return
         section = change.asked.pop(told.number)
         code = Code(told.outcome)
-        if code is Code.CONFLICT:
-            # In the second round others' parts may stand already: that is no refusal.
-            several = len(change.parts) > 1 and not change.checking
-            self._end(change, Code.BUSY if several else Code.CONFLICT, told.items)
+        if change.phase is Phase.WITHDRAW:
+            self._on_withdrawn(change, section, code)
+        elif code is Code.CONFLICT and len(change.parts) > 1:
+            self._withdraw_all(change, told.items)
+        elif code is Code.CONFLICT:
+            self._end(change, code, told.items)
+        elif code is Code.PARTLY_TAKEN:
+            self._end(change, Code.BUSY)
+        elif code is Code.BUSY and change.phase is Phase.MAKE and len(change.parts) > 1:
+            change.phase = Phase.RESERVE  # its owner may be another, which has reserved nothing
+            self._forget_asks(change)
+            change.to_reserve = sorted(change.parts)
+            change.again.append((self._machine.turn.now + ASK_AGAIN_S, change.to_reserve[0]))
         elif code is Code.BUSY:
-            change.again.append((self._machine.turn.now + 0.1, section))
+            change.again.append((self._machine.turn.now + ASK_AGAIN_S, section))
+        elif change.phase is Phase.RESERVE:
+            self._on_reserved(change, section)
         elif not change.asked and not change.again:
-            if change.checking:
-                change.checking = False
-                for part in change.parts:
-                    self._ask(change, part)
-            else:
-                self._end(change, Code.DONE)
+            self._end(change, Code.DONE)
 
-    def _end(self, change: Change, code: Code, items: Iterable[Item] = ()) -> None:
+    def _on_reserved(self, change: Change, section: int) -> None:
+        change.to_reserve.remove(section)
+        if change.to_reserve:
+            self._ask(change, change.to_reserve[0])
+        else:
+            self._make_all(change)
+
+    def _on_withdrawn(self, change: Change, section: int, code: Code) -> None:
+        """Refused only when no owner has taken a part, and none will: what was taken is never refused."""
+        if code is Code.BUSY:
+            change.again.append((self._machine.turn.now + ASK_AGAIN_S, section))
+        elif code is Code.PARTLY_TAKEN:
+            self._end(change, Code.BUSY)
+        elif not change.asked and not change.again:
+            self._end(change, Code.CONFLICT, change.conflicts)
+
+    def _forget_asks(self, change: Change) -> None:
+        """Answers that are still out count no more."""
         for number in change.asked:
             self._asks.pop(number, None)
         change.asked.clear()
+        change.again.clear()
+
+    def _end(self, change: Change, code: Code, items: Iterable[Item] = ()) -> None:
+        self._forget_asks(change)
         if self._changes.pop(change.number, None) is not None:
             self._machine.answer(change.number, code, items)
 
