Contact with a majority by round trips before anything is handed out; a member stays while a majority needs it

Cause: whether a majority is there was believed from links. A process that had stood still for 20 s took a station's call before it saw that its links were dead, and handed out what it had (shown in a rehearsal in which processes stand still). And SIGTERM made a member resign at once also while another was being filled: one full copy of three was left, no order was confirmed any more (shown in virtual time). Change: interlocking/contact.py asks voters every 0.3 s; new sessions only on a confirmation under 1 s old, counted from the question, standing ones end after 1.7 s. A member told to end stays until the others are a majority without it, to 2.1 s before the grace is over.

--- /dev/null
+++ b/leadrudder/interlocking/contact.py
@@ -0,0 +1,83 @@
+"""Contact with a majority, confirmed by round trips.
+
+A process that was frozen, or whose links are dead without its knowing, still believes that its peers are
+there. So what it knows is handed out only while a majority has lately answered a question of its own: the
+age of a confirmation counts from when the question was sent, and an answer that was on its way for long, or
+lay in a buffer while the process stood still, confirms nothing new. Times are seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from leadrudder.interlocking.quorum import Quorum
+from leadrudder.waybill import waybill_pb2 as wire
+from leadrudder.waybill.waybill_pb2 import Frame
+
+if TYPE_CHECKING:
+    from leadrudder.interlocking.machine import Interlocking
+
+ASK_EACH_S = 0.3  # while contact is fresh; at each tick otherwise
+OPEN_MOST = 8  # questions whose answers still count
+FRESH_S = 1.0  # a new session is taken only on a confirmation that is no older
+LOST_S = 1.7  # sessions that stand are ended when the latest confirmation is older
+
+
+@dataclass(slots=True)
+class Question:
+    """One question to all voters: when it was sent, and who has answered."""
+
+    sent: float
+    answers: Quorum = field(default_factory=Quorum)
+
+
+class Contact:
+    """The part of the interlocking that keeps asking whether a majority is there."""
+
+    def __init__(self, machine: Interlocking) -> None:
+        self._machine = machine
+        self._number = machine.rng.getrandbits(48)  # not those of an earlier process at our address
+        self._questions: dict[int, Question] = {}
+        self._asked = float("-inf")
+        self._confirmed = float("-inf")
+
+    def age(self, now: float) -> float:
+        """Seconds since a question was sent that a majority has answered; infinite if none ever was."""
+        return now - self._confirmed
+
+    def fresh(self, now: float) -> bool:
+        """Whether what we know may be handed to somebody new."""
+        return self.age(now) <= FRESH_S
+
+    def lost(self, now: float) -> bool:
+        """Whether a majority may have decided things without us for too long."""
+        return self.age(now) > LOST_S
+
+    def tick(self) -> None:
+        machine, now = self._machine, self._machine.turn.now
+        if not machine.has_majority() or (self.fresh(now) and now - self._asked < ASK_EACH_S):
+            return
+        self._asked = now
+        self._number += 1
+        self._questions[self._number] = Question(now)
+        while len(self._questions) > OPEN_MOST:
+            del self._questions[min(self._questions)]
+        for voter in machine.voters():
+            machine.send(voter, Frame(contact=wire.Contact(number=self._number)))
+
+    def on_contact(self, peer: str, contact: wire.Contact) -> None:
+        """Only who counts in a majority answers."""
+        machine = self._machine
+        if machine.seats.full:
+            contacted = wire.Contacted(number=contact.number, mark=machine.mark())
+            machine.send(peer, Frame(contacted=contacted))
+
+    def on_contacted(self, peer: str, contacted: wire.Contacted) -> None:
+        question = self._questions.get(contacted.number)
+        if question is None:
+            return
+        question.answers.add(peer, contacted.mark)
+        if question.answers.reached(self._machine.seats.table):
+            self._confirmed = max(self._confirmed, question.sent)
+            del self._questions[contacted.number]
--- a/leadrudder/interlocking/machine.py
+++ b/leadrudder/interlocking/machine.py
@@ -13,6 +13,7 @@
 from random import Random
 from typing import Any
 
+from leadrudder.interlocking.contact import Contact
 from leadrudder.interlocking.lease import DUTIES, Leases
 from leadrudder.interlocking.outputs import (
     SECTIONS,
@@ -80,6 +81,7 @@
         self.requests = Requests(self)
         self.leases = Leases(self)
         self.repair = Repair(self)
+        self.contact = Contact(self)
         self._restore(kept)
 
     def _restore(self, kept: dict[str, bytes]) -> None:
@@ -111,6 +113,7 @@
         self.requests.tick()
         self.leases.tick()
         self.repair.tick()
+        self.contact.tick()
         return self._end()
 
     def up(self, peer: str, now: float) -> list[Output]:
@@ -209,6 +212,11 @@
     def has_majority(self) -> bool:
         return bool(self.seats.table) and len(self.voters()) >= self.seats.majority
 
+    def may_leave(self) -> bool:
+        """Whether the others that can be reached are a majority without us: then our end costs nothing."""
+        others = [holder for holder in self.voters() if holder != self.address]
+        return not self.seats.full or len(others) >= self.seats.majority
+
     def keep(self, items: Iterable[Item]) -> dict[str, bytes]:
         """Take items into what this seat holds; returns the records to be written."""
         taken = self.book.take(items)
@@ -313,6 +321,10 @@
             self.repair.on_digest(peer, frame.digest)
         elif kind == "ranges":
             self.repair.on_ranges(peer, frame.ranges)
+        elif kind == "contact":
+            self.contact.on_contact(peer, frame.contact)
+        elif kind == "contacted":
+            self.contact.on_contacted(peer, frame.contacted)
 
     def greet(self, peer: str) -> None:
         greeting = wire.Greeting(
--- a/leadrudder/rehearsal/course.py
+++ b/leadrudder/rehearsal/course.py
@@ -33,6 +33,7 @@
     "after_ack_kill",
     "after_ack_wipe",
 )
+STANDSTILL = ("freeze",)  # a process stands still and runs on with what it knew
 RESIZING = ("grow", "shrink")  # two seats more, with the machines for them; two less
 SEATS_MOST = 9
 AFTER_ACK_S = 0.004  # a machine that acknowledged goes within so much
@@ -91,6 +92,7 @@
         world.heal()
         for machine in world.machines.values():
             machine.stalled_until, machine.slow = 0.0, 1.0
+            world.thaw(machine)
             world.start(machine)
         world.play(20.0 + END_S)
         self._end()
@@ -125,7 +127,8 @@
                 item.value = b""
         self._send(items)
         if rng.random() < 0.4:  # another operator at the same time, with the same version
-            rival = [Item(key=keys[0], version=versions[keys[0]], value=b"w%d" % i)]
+            shared = rng.sample(keys, rng.randint(1, len(keys)))
+            rival = [Item(key=key, version=versions[key], value=b"w%d" % i) for key in shared]
             self.world.after(0.02 * rng.random(), lambda: self._send(rival))
 
     def _send(self, items: list[Item]) -> None:
@@ -212,6 +215,9 @@
         elif kind in ("cut", "one_way"):
             world.cut([machine.address], others, one_way=kind == "one_way")
             world.after(span, world.heal)
+        elif kind == "freeze":
+            world.freeze(machine)
+            world.after(span, lambda: world.thaw(machine))
         elif kind == "stall":
             machine.stalled_until = world.now + span
             world.tell(f"the disk of {machine.address} stalls for {span:.1f} s")
--- a/leadrudder/rehearsal/stations.py
+++ b/leadrudder/rehearsal/stations.py
@@ -1,7 +1,7 @@
 """Stations in a rehearsal: each has a session with one signalbox, and is told what stands.
 
 They take in items by the very book that stations use. A session is taken as the signalbox takes it: once
-it was told by the owner of every section and has a majority in touch. Times are seconds.
+it was told by the owner of every section and has fresh contact with a majority. Times are seconds.
 """
 
 from __future__ import annotations
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from leadrudder.interlocking.contact import FRESH_S
 from leadrudder.rehearsal.world import DELAY_S, Machine, World
 from leadrudder.timetable.book import Book
 from leadrudder.waybill.waybill_pb2 import Item
@@ -37,23 +38,51 @@
     def _look(self) -> None:
         """Sessions that ended are made anew, with another or the same."""
         world = self._world
-        ready = [
-            m
-            for m in world.machines.values()
-            if m.process is not None and m.process.owner.complete() and m.process.has_majority()
-        ]
+        there = [m for m in world.machines.values() if m.process is not None]
         for station in self.stations:
-            home = world.machines.get(station.home)
-            if home is not None and home.process is not None and home.life == station.life:
+            if self._stands(station):
                 continue
             station.home = ""
-            if ready:
-                home = world.rng.choice(ready)
-                assert home.process is not None
-                station.home, station.life = home.address, home.life
-                self._send(station, tuple(home.process.standing.items.values()))
+            if there:
+                self._hello(station, world.rng.choice(there))
         world.after(LOOK_S, self._look)
 
+    def _stands(self, station: Station) -> bool:
+        home = self._world.machines.get(station.home)
+        if home is None or home.process is None or home.frozen or home.life != station.life:
+            return False
+        return not home.process.contact.lost(self._world.now)
+
+    def _hello(self, station: Station, home: Machine) -> None:
+        """One that stands still takes it at its thaw, before it sees that its own links are dead."""
+        life = home.life
+
+        def take() -> None:
+            process = home.process
+            if process is None or home.life != life or station.home or not process.owner.complete():
+                return
+            if not process.contact.fresh(self._world.now):
+                return
+            self._judge(home, process.standing)
+            station.home, station.life = home.address, life
+            self._send(station, tuple(process.standing.items.values()))
+
+        if home.frozen:
+            home.inbox.insert(0, take)
+        else:
+            take()
+
+    def _judge(self, home: Machine, told: Book) -> None:
+        """What a station begins with is no older than what was acknowledged a moment before."""
+        for acknowledged in self._world.acknowledgements:
+            if acknowledged.at > self._world.now - FRESH_S:
+                break
+            item = told.items.get(acknowledged.key)
+            if item is None or item.version < acknowledged.version:
+                self._world.broken(
+                    f"{home.address} hands out {acknowledged.key} older than version {acknowledged.version}"
+                )
+
     def _told(self, machine: Machine, items: tuple[Item, ...]) -> None:
         for station in self.stations:
             if station.home == machine.address and station.life == machine.life:
--- a/leadrudder/rehearsal/world.py
+++ b/leadrudder/rehearsal/world.py
@@ -51,9 +51,20 @@
     writing: bool = False
     stalled_until: float = 0.0
     slow: float = 1.0  # how many times as long a sync takes
+    frozen: bool = False  # its process stands still; what comes in meanwhile waits
+    inbox: list[Callable[[], None]] = field(default_factory=list)  # inputs that wait for the thaw
     gone: bool = False  # taken away for good
 
 
+@dataclass(frozen=True, slots=True)
+class Acknowledged:
+    """A version that an operator was told of, and when."""
+
+    at: float
+    key: str
+    version: int
+
+
 @dataclass(slots=True)
 class Wire:
     """One connection, by the lives of its ends."""
@@ -81,6 +92,7 @@
         self.values: dict[tuple[str, int], bytes] = {}  # what has stood, by key and version
         self.refused: set[tuple[str, int, bytes]] = set()
         self.acknowledged: dict[str, Item] = {}
+        self.acknowledgements: list[Acknowledged] = []  # all, in their order
         self.owners: dict[tuple[int, int], str] = {}
         self.answers: dict[tuple[str, int], Callable[[Answer], None]] = {}
         self._numbers = 0
@@ -116,7 +128,7 @@
 
     def _tick(self) -> None:
         for machine in list(self.machines.values()):
-            if machine.process is not None:
+            if machine.process is not None and not machine.frozen:
                 self._carry_out(machine, machine.process.tick(self.now))
         self.after(TICK_S, self._tick)
 
@@ -145,6 +157,7 @@
         if machine.process is None:
             return
         machine.process = None
+        machine.frozen, machine.inbox = False, []
         for pending in machine.queue[: self.rng.randrange(len(machine.queue) + 1)]:
             machine.disk.update(pending.records)
         machine.queue, machine.writing = [], False
@@ -155,6 +168,32 @@
             if machine.address in wire.ends:
                 self.after(SILENCE_S if power else 0.002, lambda wire=wire: self._end(wire))  # type: ignore[misc]
 
+    def freeze(self, machine: Machine) -> None:
+        """The process stands still: others notice silence, and it notices nothing until the thaw."""
+        if machine.process is None or machine.frozen:
+            return
+        machine.frozen = True
+        self.tell(f"{machine.address} stands still")
+        for wire in list(self._wires.values()):
+            if machine.address in wire.ends:
+                self.after(SILENCE_S, lambda wire=wire: self._end(wire))  # type: ignore[misc]
+
+    def thaw(self, machine: Machine) -> None:
+        """What came in meanwhile is handled, in its order and late, and then the ends of links."""
+        if not machine.frozen:
+            return
+        machine.frozen = False
+        self.tell(f"{machine.address} runs again")
+        waiting, machine.inbox = machine.inbox, []
+        for handle in waiting:
+            handle()
+
+    def _when_it_runs(self, machine: Machine, handle: Callable[[], None]) -> None:
+        if machine.frozen:
+            machine.inbox.append(handle)
+        else:
+            handle()
+
     def replace(self, machine: Machine, address: str) -> Machine:
         """One is gone for good; an empty one comes at another address."""
         self.kill(machine, power=True)
@@ -176,7 +215,7 @@
         return machine if machine is not None and machine.process is not None else None
 
     def _dial(self) -> None:
-        running = [m for m in self.machines.values() if m.process is not None]
+        running = [m for m in self.machines.values() if m.process is not None and not m.frozen]
         for i, a in enumerate(running):
             for b in running[i + 1 :]:
                 pair = frozenset((a.address, b.address))
@@ -197,10 +236,16 @@
         wire.up = False
         for i, address in enumerate(wire.ends):
             machine = self._running(address)
-            if machine is not None and machine.life == wire.lives[i] and machine.process is not None:
-                other = wire.ends[1 - i]
+            if machine is not None and machine.life == wire.lives[i]:
+                self._when_it_runs(machine, self._downer(machine, wire.lives[i], wire.ends[1 - i]))
+
+    def _downer(self, machine: Machine, life: int, other: str) -> Callable[[], None]:
+        def down() -> None:
+            if machine.process is not None and machine.life == life:
                 self._carry_out(machine, machine.process.down(other, self.now))
 
+        return down
+
     def cut(self, a: Iterable[str], b: Iterable[str], *, one_way: bool = False) -> None:
         """Nothing passes from a to b; nor back, unless it is cut one way only."""
         pairs = [(x, y) for x in a for y in b]
@@ -233,8 +278,10 @@
 
         def arrive() -> None:
             receiver = self._running(send.to)
-            if receiver is not None and wire.up and (machine.address, send.to) not in self.cuts:
-                self._arrive(receiver, wire.lives[place], machine.address, Frame.FromString(data))
+            if receiver is None or not wire.up or (machine.address, send.to) in self.cuts:
+                return
+            life, sender, frame = wire.lives[place], machine.address, Frame.FromString(data)
+            self._when_it_runs(receiver, lambda: self._arrive(receiver, life, sender, frame))
 
         self.at(when, arrive)
 
@@ -262,7 +309,7 @@
         holders = [
             m.address
             for m in self.machines.values()
-            if m.process is not None and m.process.leases.holds(SWEEP, self.now)
+            if m.process is not None and not m.frozen and m.process.leases.holds(SWEEP, self.now)
         ]
         if len(holders) > 1:
             self.broken(f"one duty has two holders: {holders}")
@@ -292,6 +339,9 @@
         def synced() -> None:
             if machine.life != life or machine.process is None:
                 return
+            if machine.frozen:
+                machine.inbox.append(synced)
+                return
             if machine.stalled_until > self.now:
                 self.at(machine.stalled_until + 0.01, synced)
                 return
@@ -327,18 +377,34 @@
         def judged(answer: Answer) -> None:
             if answer.code is Code.DONE:
                 for item in items:
+                    self.acknowledgements.append(Acknowledged(self.now, item.key, item.version))
                     old = self.acknowledged.get(item.key)
                     if old is None or item.version > old.version:
                         self.acknowledged[item.key] = item
-            elif answer.code is Code.CONFLICT and len(items) == 1 and not items[0].key.startswith(ORDERS):
-                self.refused.add((items[0].key, items[0].version, items[0].value))
-                stood = self.values.get((items[0].key, items[0].version))
-                if stood == b"=" + items[0].value:
-                    self.broken(f"{items[0].key} version {items[0].version} was refused and stands")
+            elif answer.code is Code.CONFLICT:
+                self._refused(items)
             answered(answer)
 
         self.answers[machine.address, number] = judged
-        self._carry_out(machine, machine.process.change(number, items, self.now))
+        life = machine.life
+
+        def take() -> None:
+            if machine.process is not None and machine.life == life:
+                self._carry_out(machine, machine.process.change(number, items, self.now))
+
+        self._when_it_runs(machine, take)
+
+    def _refused(self, items: Iterable[Item]) -> None:
+        """A call was refused: no part of it may stand, before or after.
+
+        Dropped items are passed over: another operator's drop of the same version looks alike.
+        """
+        for item in items:
+            if item.dropped or item.key.startswith(ORDERS):
+                continue
+            self.refused.add((item.key, item.version, item.value))
+            if self.values.get((item.key, item.version)) == b"=" + item.value:
+                self.broken(f"{item.key} version {item.version} was refused and stands")
 
     def read(self, machine: Machine, answered: Callable[[Answer], None]) -> None:
         """A read at one machine, which must not be older than what was acknowledged when it began."""
@@ -361,4 +427,10 @@
             answered(answer)
 
         self.answers[machine.address, number] = judged
-        self._carry_out(machine, machine.process.read(number, self.now))
+        life = machine.life
+
+        def take() -> None:
+            if machine.process is not None and machine.life == life:
+                self._carry_out(machine, machine.process.read(number, self.now))
+
+        self._when_it_runs(machine, take)
--- a/leadrudder/signalbox/program.py
+++ b/leadrudder/signalbox/program.py
@@ -36,8 +36,8 @@
 OPEN_AGAIN_S = 0.2
 DIAL_S = 0.25  # between tries to reach another signalbox
 SETTLED_S = 4.0  # after which our list of members is whole
-LOST_MAJORITY_S = 0.9  # without a majority for so long, stations are sent elsewhere
-LEAVE_S = 0.6  # for what is under way when SIGTERM comes
+LEAVE_S = 0.6  # for what is under way when this process gives up what it owns
+LEAVE_LATEST_S = 1.5  # before the grace is over it ends in any case
 
 
 class Signalbox:
@@ -72,7 +72,7 @@
         self._dialling: set[str] = set()
         self._waiting: dict[int, asyncio.Future[Answer]] = {}
         self._last = 0
-        self._touched = self._loop.time()
+        self._leave_by = float("inf")  # SIGTERM has come: when we end at the latest
         self._settled_at = float("inf")
         self._done = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -259,16 +259,17 @@
     # ------------------------------------------------------------ sessions
 
     def _hello(self, link: Link, hello: wire.Hello) -> None:
-        """A station reports; without a majority it is sent elsewhere, as what we know may be old.
+        """A station reports; without fresh contact with a majority it is sent elsewhere.
+
+        What we know may be old then.
 
         One of another zone is sent to a signalbox there, if there is one: bytes between zones are dear.
         """
         node = hello.node
-        complete = self.interlocking.owner.complete()
-        if not complete or not self._in_touch() or self._done.is_set() or self.interlocking.resigned:
+        new = link not in self._sessions
+        if not self._serves(new) or self._leaving():
             link.cut()
             return
-        new = link not in self._sessions
         if new and hello.movable and (near := self._near(node.zone)):
             link.send(Frame(news=wire.News(near=near)))
             return
@@ -317,22 +318,27 @@
             if link is not but:
                 link.send(frame)
 
-    def _in_touch(self) -> bool:
-        """Whether a majority is connected, or was a moment ago."""
-        return self._loop.time() - self._touched <= LOST_MAJORITY_S and bool(self.interlocking.seats.table)
+    def _serves(self, new: bool) -> bool:
+        """Whether a station may be told what we know; new: it has no session here yet."""
+        contact, now = self.interlocking.contact, self._loop.time()
+        in_contact = contact.fresh(now) if new else not contact.lost(now)
+        return in_contact and self.interlocking.owner.complete()
+
+    def _leaving(self) -> bool:
+        return self._done.is_set() or self.interlocking.resigned
 
     def _tick(self) -> None:
         self._loop.call_later(TICK_S, self._tick)  # first: a fault below must not end it
         now = self._loop.time()
         if self.interlocking.has_majority():
-            self._touched = now
             self._settled_at = min(self._settled_at, now + SETTLED_S)
         self._carry_out(self.interlocking.tick(now))
+        self._leave_when_safe(now)
         self._tell(self._register.tick(now, self.interlocking.leases.holds(SWEEP, now)))
         self._register.forget()
         if self._possessions is not None:
             self._possessions.tick(self.interlocking.leases.holds(POSSESSION, now))
-        if not self._in_touch():
+        if self.interlocking.contact.lost(now):
             self._settled_at = float("inf")
             for link in list(self._sessions):
                 link.cut()
@@ -371,12 +377,23 @@
     # ------------------------------------------------------------ the end
 
     def terminate(self) -> None:
-        """SIGTERM: hand over what is owned, end what is under way, send stations elsewhere."""
-        if self.interlocking.resigned:
+        """SIGTERM: as soon as the others can do without us, hand over and end."""
+        if self._leave_by < float("inf"):
+            return
+        self.ring.say("told to end")
+        now = self._loop.time()
+        self._leave_by = now + max(0.0, self.settings.bounds.grace / 1000.0 - LEAVE_LATEST_S - LEAVE_S)
+        self._leave_when_safe(now)
+
+    def _leave_when_safe(self, now: float) -> None:
+        """Stay, and serve on, while a majority needs what we hold: a member that is being filled, say."""
+        if self._leave_by == float("inf") or self._leaving():
+            return
+        if not self.interlocking.may_leave() and now < self._leave_by:
             return
         self.ring.say("ends: hands over what it owns")
         self._control.closing = True
-        self._carry_out(self.interlocking.resign(self._loop.time()))
+        self._carry_out(self.interlocking.resign(now))
         for link in list(self._sessions):
             link.close()
         self._loop.call_later(LEAVE_S, self._leave)
--- a/tests/mesh/plants.py
+++ b/tests/mesh/plants.py
@@ -11,12 +11,13 @@
 from unittest import mock
 
 from leadrudder.interlocking import lease, machine, owner, quorum
+from leadrudder.interlocking.contact import Contact
 from leadrudder.interlocking.lease import Leases
 from leadrudder.interlocking.machine import Interlocking
 from leadrudder.interlocking.outputs import Code, Output, Send
 from leadrudder.interlocking.owner import Owner
 from leadrudder.interlocking.quorum import Quorum
-from leadrudder.interlocking.requests import Requests
+from leadrudder.interlocking.requests import Change, Phase, Requests
 from leadrudder.interlocking.seating import Seating
 from leadrudder.interlocking.seats import Seats
 from leadrudder.proving.world import Move
@@ -31,6 +32,12 @@
         yield
 
 
+@contextmanager
+def put_all(owner: type, **values: Any) -> Iterator[None]:
+    with mock.patch.multiple(owner, **values):
+        yield
+
+
 def one_copy_is_enough() -> Any:
     return mock.patch("leadrudder.interlocking.quorum.majority", lambda seats: 1)
 
@@ -398,6 +405,33 @@
     return put(Interlocking, "send", send)
 
 
+def reserved_in_no_order() -> Any:
+    """A call over several sections asks all owners at once for its versions."""
+
+    def reserve_all(self: Requests, change: Change) -> None:
+        change.phase = Phase.RESERVE
+        self._forget_asks(change)
+        change.to_reserve = sorted(change.parts)
+        for section in change.parts:
+            self._ask(change, section)
+
+    def reserved(self: Requests, change: Change, section: int) -> None:
+        change.to_reserve.remove(section)
+        if not change.to_reserve:
+            self._make_all(change)
+
+    return put_all(Requests, _reserve_all=reserve_all, _on_reserved=reserved)
+
+
+def links_believed() -> Any:
+    """Contact with a majority is what the links seem to be, not what was answered lately."""
+
+    def fresh(self: Contact, now: float) -> bool:
+        return self._machine.has_majority()
+
+    return put(Contact, "fresh", fresh)
+
+
 PLANTS: dict[str, Callable[[], Any]] = {
     plant.__name__: plant
     for plant in (
@@ -436,6 +470,8 @@
         no_room_for_clocks,
         granted_anew_after_a_restart,
         nothing_repaired,
+        reserved_in_no_order,
+        links_believed,
     )
 }
 
