A client that has left is waited for no more: nothing further is sent, and a run that may be repeated is broken off

A closed connection was noticed by nobody: queued requests were still sent, and servers worked on (most drop a request when its connection closes, so nobody told them). Change: the end of a client's connection ends its open requests; attempts are withdrawn with the reason, and the node beside the server breaks off a run that may be repeated; the decisions hear that the request is gone, first, so that no server is charged for it. Tests: test_points, test_outbound.

--- a/leadrudder/station/gate.py
+++ b/leadrudder/station/gate.py
@@ -238,10 +238,14 @@
         self.running += 1
         start()
 
-    def ended(self, elapsed_ms: float, now: float) -> None:
-        """A call that was started is over, however."""
+    def ended(self, elapsed_ms: float | None, now: float) -> None:
+        """A call that was started is over, however.
+
+        elapsed_ms: None if it was broken off because its client had left.
+        """
         self.running -= 1
-        self._usual_ms += USUAL_STEP * (elapsed_ms - self._usual_ms)
+        if elapsed_ms is not None:
+            self._usual_ms += USUAL_STEP * (elapsed_ms - self._usual_ms)
         self.advance(now)
 
     def withdraw(self, queued: Queued) -> None:
--- a/leadrudder/station/gates.py
+++ b/leadrudder/station/gates.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from leadrudder.station.inbound import Withdraw
 from leadrudder.telegraph.link import IDLE_DIALLED_S, Link, dial
 from leadrudder.waybill.verdict import Ran
 from leadrudder.waybill.waybill_pb2 import Delivery, Frame, Waybill, Withdrawal
@@ -29,7 +30,7 @@
         self._out: dict[int, Deliver] = {}
         self._last = 0
 
-    def send(self, waybill: Waybill, deliver: Deliver) -> Callable[[], None]:
+    def send(self, waybill: Waybill, deliver: Deliver) -> Withdraw:
         """deliver is called once, also where the link breaks; returns what withdraws the waybill."""
         self.used = self._loop.time()
         self._last += 1
@@ -40,7 +41,7 @@
             self._waiting.append((waybill, deliver))
             if self._dialling is None:
                 self._dialling = self._loop.create_task(self._dial())
-        return lambda: self._withdraw(number)
+        return lambda client_left: self._withdraw(number, client_left)
 
     def _write(self, link: Link, waybill: Waybill, deliver: Deliver) -> None:
         if not link.send(Frame(waybill=waybill)):
@@ -49,9 +50,9 @@
         self._out[waybill.number] = deliver
         link.watch()
 
-    def _withdraw(self, number: int) -> None:
+    def _withdraw(self, number: int, client_left: bool) -> None:
         if self._out.pop(number, None) is not None and self._link is not None:
-            self._link.send(Frame(withdrawal=Withdrawal(number=number)))
+            self._link.send(Frame(withdrawal=Withdrawal(number=number, client_left=client_left)))
         self._waiting = [(w, d) for w, d in self._waiting if w.number != number]
 
     async def _dial(self) -> None:
@@ -99,7 +100,7 @@
         self._ways: dict[str, Way] = {}
         self._loop = asyncio.get_running_loop()
 
-    def send(self, address: str, waybill: Waybill, deliver: Deliver) -> Callable[[], None]:
+    def send(self, address: str, waybill: Waybill, deliver: Deliver) -> Withdraw:
         way = self._ways.get(address)
         if way is None:
             way = self._ways[address] = Way(address)
--- a/leadrudder/station/inbound.py
+++ b/leadrudder/station/inbound.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from leadrudder.interface import Outcome
+from leadrudder.node.servers import Call
 from leadrudder.station.gate import Gate
 from leadrudder.station.server import NOT_RUN, SEAL, Going, OwnServer
 from leadrudder.telegraph.http import WholeMessage
@@ -29,6 +30,11 @@
 )
 
 Deliver = Callable[[Delivery], None]
+Withdraw = Callable[[bool], None]  # the argument: whether it is because the client has left
+
+
+def nothing_to_withdraw(client_left: bool) -> None:
+    """For a request that has been answered."""
 
 
 def passed_on(message: WholeMessage, without: frozenset[bytes] = frozenset()) -> bytes:
@@ -57,8 +63,12 @@
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
 
-    def take(self, waybill: Waybill, deliver: Deliver) -> Callable[[], None]:
-        """Returns what withdraws it while it has not been started."""
+    def take(self, waybill: Waybill, deliver: Deliver) -> Withdraw:
+        """Returns what withdraws it: while it has not been started, or if its client has left.
+
+        A run that may be repeated is broken off then; one that may not goes on to its end.
+        """
+        call: Call | None = None
 
         def refuse(verdict: Verdict) -> None:
             deliver(
@@ -68,18 +78,24 @@
             )
 
         def start() -> None:
-            self._run(waybill, deliver)
+            nonlocal call
+            call = self._run(waybill, deliver)
+
+        def withdraw(client_left: bool) -> None:
+            if queued is not None:
+                self.gate.withdraw(queued)
+            if call is not None and client_left and not waybill.once:
+                call.give_up(Outcome.CANCELLED)
 
         if self._lent(waybill):
             refuse(Verdict(Ran.NEVER, "lent"))
-            return lambda: None
+            return nothing_to_withdraw
         queued = self.gate.admit(waybill, self._loop.time(), start, refuse)
-        if queued is None:
-            return lambda: None
-        self._look_again()
-        return lambda: self.gate.withdraw(queued)
+        if queued is not None:
+            self._look_again()
+        return withdraw
 
-    def _run(self, waybill: Waybill, deliver: Deliver) -> None:
+    def _run(self, waybill: Waybill, deliver: Deliver) -> Call:
         began = self._loop.time()
         length = b""
         if waybill.body or waybill.method not in (b"GET", b"HEAD", b"DELETE"):
@@ -98,11 +114,11 @@
             if outcome is Outcome.CONNECT_FAILED:
                 self.gate.no_connection(waybill.server, now)
             deliver(delivery)
-            self.gate.ended(1000.0 * (now - began), now)
+            self.gate.ended(None if outcome is Outcome.CANCELLED else 1000.0 * (now - began), now)
             self._look_again()
 
         going = Going(waybill.attempt_id, head, waybill.body)
-        self._own.run(waybill.server, going, waybill.left_ms / 1000.0 + OVER_S, ended)
+        return self._own.run(waybill.server, going, waybill.left_ms / 1000.0 + OVER_S, ended)
 
     def _delivery(self, waybill: Waybill, outcome: Outcome, message: WholeMessage | None) -> Delivery:
         delivery = Delivery(number=waybill.number)
--- a/leadrudder/station/outbound.py
+++ b/leadrudder/station/outbound.py
@@ -29,7 +29,7 @@
 _OURS = frozenset((b"time-left", b"target-server", b"calling-service", b"expect"))
 
 Find = Callable[[str, str], Route | None]
-Begin = Callable[[Route, Errand], None]
+Begin = Callable[[Route, Errand], Callable[[], None]]  # returns what says that its client has left
 
 
 @dataclass(slots=True)
@@ -38,6 +38,7 @@
 
     output: bytes | None = None
     close: bool = False
+    leave: Callable[[], None] | None = None  # to be called when the client has left before its answer
 
 
 class Client(asyncio.Protocol):
@@ -84,10 +85,20 @@
         self._flush()
 
     def eof_received(self) -> bool:
-        return bool(self._places)  # a client may close its side and still read
+        """The client has closed its connection: what it waited for is of no use to it."""
+        waiting = bool(self._places)
+        self._over = True
+        self._leave()
+        return waiting  # the answers that are due now end the connection
+
+    def _leave(self) -> None:
+        for place in list(self._places):
+            if place.output is None and place.leave is not None:
+                place.leave()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
+        self._leave()
         self._outbound.hold(self, 0)
         self._outbound.clients.pop(self, None)
 
@@ -103,7 +114,9 @@
             self._transport.pause_reading()
             self._paused = True
         self._outbound.hold(self, 0)  # from here on it counts as under way
-        self._outbound.take(cast(WholeMessage, message), lambda output: self._answer(place, output))
+        place.leave = self._outbound.take(
+            cast(WholeMessage, message), lambda output: self._answer(place, output)
+        )
 
     def _answer(self, place: Place, output: Callable[[bool], bytes]) -> None:
         if self._outbound.closing and self._places and self._places[-1] is place:
@@ -224,8 +237,13 @@
 
     # ------------------------------------------------------------ requests
 
-    def take(self, message: WholeMessage, write: Callable[[Callable[[bool], bytes]], None]) -> None:
-        """A whole request; write is called once, with what renders its answer."""
+    def take(
+        self, message: WholeMessage, write: Callable[[Callable[[bool], bytes]], None]
+    ) -> Callable[[], None] | None:
+        """A whole request; write is called once, with what renders its answer.
+
+        Returns what is to be called if the client leaves before it; None if the answer was written.
+        """
         self.last_heard = self.now()
         headers = message.headers
         path, _, _ = message.start.partition(b"?")
@@ -264,8 +282,7 @@
             deadline=self.now() + left_ms / 1000.0,
             answered=answered,
         )
-        self._begin(route, errand)
-        return None
+        return self._begin(route, errand)
 
     @staticmethod
     def _plain(write: Callable[[Callable[[bool], bytes]], None], status: int, fields: bytes = b"") -> None:
--- a/leadrudder/station/points.py
+++ b/leadrudder/station/points.py
@@ -58,7 +58,7 @@
     done: bool = False
     arrivals: int = 0  # at servers, as far as is known or must be feared
     sends: int = 0
-    out: dict[int, Callable[[], None]] = field(default_factory=dict)  # attempts, and what withdraws each
+    out: dict[int, Callable[[bool], None]] = field(default_factory=dict)  # attempts, and what withdraws each
     verdicts: list[Verdict] = field(default_factory=list)
     reply: Reply | None = None  # a server's answer that was no success
 
@@ -68,7 +68,7 @@
             self.answered(what)
 
 
-Carry = Callable[[Errand, Route, str, bool, bool, Callable[[Delivery], None]], Callable[[], None]]
+Carry = Callable[[Errand, Route, str, bool, bool, Callable[[Delivery], None]], Callable[[bool], None]]
 
 
 class Points:
@@ -125,8 +125,8 @@
         )
         self._post(api.ServerList(api.ListKind.FULL, entries))
 
-    def begin(self, errand: Errand) -> None:
-        """A request: from here on it is owed one answer."""
+    def begin(self, errand: Errand) -> Callable[[], None]:
+        """A request: from here on it is owed one answer.  Returns what says that its client has left."""
         self._last += 1
         self._purse.earn()
         number = self._last
@@ -134,6 +134,17 @@
         left = errand.deadline - self._loop.time()
         self._loop.call_later(max(0.0, left), self._overdue, number, errand)
         self._post(api.Arrival(number, 0, max(1.0, 1000.0 * left)))
+        return lambda: self._client_left(number, errand)
+
+    def _client_left(self, number: int, errand: Errand) -> None:
+        """Nobody waits for it any more: nothing further is sent, and what is out is withdrawn."""
+        if number not in self._errands or errand.done:
+            return
+        del self._errands[number]
+        self._post(api.RequestGone(number))  # first: what ends now says nothing of its server
+        self._finish(errand, "client left")
+        for attempt in list(errand.out):
+            self._end(number, errand, attempt, Outcome.CANCELLED, client_left=True)
 
     def _overdue(self, number: int, errand: Errand) -> None:
         """Its time is over: what is still out counts as failed at the time it took."""
@@ -205,7 +216,7 @@
         began = self._loop.time()
         free = min(len(self._listed) - 1, DRAWS_FREE)
         server = action.server.decode()
-        errand.out[attempt] = lambda: None
+        errand.out[attempt] = lambda client_left: None
         over = False
 
         def delivered(delivery: Delivery) -> None:
@@ -222,12 +233,14 @@
         self._post(api.AttemptEnded(number, attempt, server, Outcome.MOOT, 0.0, errand.done))
         self._forget(number, errand)
 
-    def _end(self, number: int, errand: Errand, attempt: int, outcome: Outcome) -> None:
+    def _end(
+        self, number: int, errand: Errand, attempt: int, outcome: Outcome, *, client_left: bool = False
+    ) -> None:
         """An attempt that is out is not waited for any more."""
         found = self._began.pop((number, attempt), None)
         if found is None or attempt not in errand.out:
             return
-        errand.out.pop(attempt)()
+        errand.out.pop(attempt)(client_left)
         errand.verdicts.append(Verdict(Ran.MAYBE, "time" if outcome is Outcome.TIMEOUT else "withdrawn"))
         errand.arrivals += 1
         server, began = found
--- a/leadrudder/station/program.py
+++ b/leadrudder/station/program.py
@@ -23,7 +23,7 @@
 from leadrudder.station.beats import Beat, Beats
 from leadrudder.station.gate import Gate, Life
 from leadrudder.station.gates import Gates
-from leadrudder.station.inbound import Inbound
+from leadrudder.station.inbound import Inbound, Withdraw, nothing_to_withdraw
 from leadrudder.station.lent import Lent
 from leadrudder.station.newsstand import Newsstand
 from leadrudder.station.outbound import Outbound
@@ -80,7 +80,7 @@
         self._serving: list[wire.Node] = []  # stations with a server, as far as we heard
         self._points: dict[tuple[str, str], Points] = {}
         self._purses: dict[str, Purse] = {}
-        self._withdrawals: dict[Link, dict[int, Callable[[], None]]] = {}
+        self._withdrawals: dict[Link, dict[int, Withdraw]] = {}
         self._terminated_at: float | None = None
         self._done = asyncio.Event()
         self._refused: Counter[str] = (
@@ -157,7 +157,7 @@
     def _timetable_find(self, host: str, path: str) -> Route | None:
         return self._timetable.find(host, path)
 
-    def _begin(self, route: Route, errand: Errand) -> None:
+    def _begin(self, route: Route, errand: Errand) -> Callable[[], None]:
         service = route.split[0][0]
         if len(route.split) > 1:
             names, shares = zip(*route.split, strict=True)
@@ -167,7 +167,7 @@
         points = self._points.get((route.name, service))
         if points is None:
             points = self._lay(route, service)
-        points.begin(errand)
+        return points.begin(errand)
 
     def _count(self, route: Route, service: str, errand: Errand) -> None:
         """What becomes of it goes into the ledger."""
@@ -206,7 +206,7 @@
         may_wait: bool,
         again: bool,
         deliver: Callable[[Delivery], None],
-    ) -> Callable[[], None]:
+    ) -> Withdraw:
         """One attempt, to the gate beside its server."""
         waybill = Waybill(
             server=server,
@@ -232,7 +232,7 @@
         place = self._servers.get(server)
         if place is None:
             counted(Delivery(ran=0, why="gone"))
-            return lambda: None
+            return nothing_to_withdraw
         if place[1] == self._address:
             return self._inbound.take(waybill, counted)
         return self._gates.send(place[1], waybill, counted)
@@ -246,7 +246,7 @@
     def on_down(self, link: Link) -> None:
         self._newsstand.unsubscribe(link)
         for withdraw in self._withdrawals.pop(link, {}).values():
-            withdraw()
+            withdraw(False)
 
     def on_frame(self, link: Link, frame: Frame) -> None:
         kind = frame.WhichOneof("body")
@@ -263,7 +263,7 @@
                 delivery.number = number
                 link.send(Frame(delivery=delivery))
 
-            waiting[number] = lambda: None
+            waiting[number] = nothing_to_withdraw
             link.every_s = PING_S  # its origin waits, and asks for signs of life
             withdraw = self._inbound.take(frame.waybill, deliver)
             if number in waiting:
@@ -272,7 +272,8 @@
             link.every_s = PING_S
             self._newsstand.subscribe(link, frozenset(frame.subscribe.services))
         elif kind == "withdrawal":
-            waiting.pop(frame.withdrawal.number, lambda: None)()
+            withdraw = waiting.pop(frame.withdrawal.number, nothing_to_withdraw)
+            withdraw(frame.withdrawal.client_left)
 
     # ------------------------------------------------------------ what we are told
 
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import unittest
+from collections.abc import Callable
 from unittest import mock
 
 from leadrudder.depot.store import MemoryStore
 from leadrudder.emulation.fleet import Fleet, Machine
 from leadrudder.interlocking.machine import Interlocking
-from leadrudder.timetable.items import Limits
+from leadrudder.station.points import Errand
+from leadrudder.timetable.items import Limits, Route
 from tests.mesh.test_emulation import PLAN
 from tests.mesh.test_outbound import ROUTE, Loop, Transport, request
 
@@ -100,9 +102,7 @@
         from leadrudder.station.outbound import Client, Outbound
 
         self.taken: list[object] = []
-        self.outbound = Outbound(
-            "mine", lambda h, p: ROUTE, lambda r, e: self.taken.append(e), Limits, lambda: True, 300_000
-        )
+        self.outbound = Outbound("mine", lambda h, p: ROUTE, self._begin, Limits, lambda: True, 300_000)
         self.outbound.informed = True
         self.outbound.closing = True
         self.outbound.last_taken, self.outbound.end_by = 102.9, 105.2
@@ -110,6 +110,10 @@
         self.client = Client(self.outbound)
         self.client.connection_made(self.transport)  # type: ignore[arg-type]
 
+    def _begin(self, route: Route, errand: Errand) -> Callable[[], None]:
+        self.taken.append(errand)
+        return lambda: None
+
     def test_taken_in_the_first_half_whatever_its_time(self) -> None:
         self.clock.now = 102.5
         self.client.data_received(request(fields="Time-Left: 900\r\n"))
--- a/tests/mesh/test_outbound.py
+++ b/tests/mesh/test_outbound.py
@@ -71,15 +71,32 @@
         patched.start()
         self.addCleanup(patched.stop)
         self.errands: list[Errand] = []
+        self.left: list[bytes] = []  # ids of requests whose client has left
         find = lambda host, path: ROUTE if path.startswith("/a/") else None  # noqa: E731
-        self.outbound = Outbound(
-            "mine", find, lambda route, errand: self.errands.append(errand), Limits, lambda: True, 300_000
-        )
+        self.outbound = Outbound("mine", find, self.begin, Limits, lambda: True, 300_000)
         self.outbound.informed = True
         self.transport = Transport()
         self.client = Client(self.outbound)
         self.client.connection_made(cast(Any, self.transport))
 
+    def begin(self, route: Route, errand: Errand) -> Callable[[], None]:
+        self.errands.append(errand)
+        return lambda: self.left.append(errand.attempt_id)
+
+    def test_a_client_that_closes_leaves_all_that_it_waits_for(self) -> None:
+        self.client.data_received(request(attempt="x1") + request(attempt="x2") + request(attempt="x3"))
+        self.errands[0].answer(Reply(200, b"", b"first"))
+        self.client.eof_received()
+        self.assertEqual(self.left, [b"x2", b"x3"])
+        self.client.data_received(request(attempt="x4"))
+        self.assertEqual(len(self.errands), 3)
+
+    def test_a_reset_leaves_too_and_an_answered_client_leaves_nothing(self) -> None:
+        self.client.data_received(request(attempt="x1") + request(attempt="x2"))
+        self.errands[0].answer(Reply(200, b"", b"first"))
+        self.client.connection_lost(ConnectionResetError())
+        self.assertEqual(self.left, [b"x2"])
+
     def statuses(self) -> list[bytes]:
         return [part[:3] for part in self.transport.written.split(b"HTTP/1.1 ")[1:]]
 
--- a/tests/mesh/test_points.py
+++ b/tests/mesh/test_points.py
@@ -41,6 +41,7 @@
         self.clock = Clock()
         self.calls: list[tuple[str, bool, Callable[[Delivery], None]]] = []
         self.answers: list[Reply | Verdict] = []
+        self.withdrawn: list[tuple[str, bool]] = []  # servers, and whether because the client had left
         route = Route("r", "h", "/", once, 1000.0, 250.0, 1, (("s", 1.0),), 2, 1)
         with mock.patch("asyncio.get_running_loop", return_value=self.clock):
             self.points = Points(route, "s", 1, Purse(0.2, 55.0, 1), self.carry, lambda text: None)
@@ -54,13 +55,13 @@
         may_wait: bool,
         again: bool,
         deliver: Callable[[Delivery], None],
-    ) -> Callable[[], None]:
+    ) -> Callable[[bool], None]:
         self.calls.append((server, may_wait, deliver))
-        return lambda: None
+        return lambda client_left: self.withdrawn.append((server, client_left))
 
-    def ask(self) -> None:
+    def ask(self) -> Callable[[], None]:
         errand = Errand(b"GET", b"/", b"", b"", b"id", self.clock.now + 1.0, self.answers.append)
-        self.points.begin(errand)
+        return self.points.begin(errand)
 
     def end(self, after_s: float, **told: Any) -> str:
         self.clock.now += after_s
@@ -69,6 +70,21 @@
         self.clock.run()
         return server
 
+    def test_a_client_that_has_left_is_waited_for_no_more_and_no_server_is_blamed(self) -> None:
+        self.lay()
+        leave = self.ask()
+        before = self.state()
+        self.clock.now += 0.05
+        leave()
+        self.clock.run()
+        self.assertEqual(self.withdrawn, [(self.calls[0][0], True)])
+        self.assertEqual(len(self.answers), 1)
+        self.assertEqual(self.state(), before)
+        leave()
+        self.calls[0][2](Delivery(ran=2, status=200))  # what still comes is nobody's
+        self.clock.run()
+        self.assertEqual((len(self.calls), len(self.answers), len(self.withdrawn)), (1, 1, 1))
+
     def state(self) -> tuple[dict[bytes, float], dict[bytes, float | None]]:
         automaton = self.points.balancer.automaton
         names = automaton.servers
