--- a/leadrudder/interlocking/owner.py
+++ b/leadrudder/interlocking/owner.py
@@ -401,7 +401,9 @@
     def _is_taken(self, item: Item) -> bool:
         """Whether the very call that an item is of gave its version the value that the version has."""
         latest = self._latest(item.key)
-        return latest is not None and (latest.version, latest.call) == (item.version, item.call)
+        if latest is None or not item.call:
+            return False
+        return (latest.version, latest.call) == (item.version, item.call)
 
     def _weigh(self, ask: wire.Ask) -> tuple[Code, list[Item], list[Item]]:
         """What an ask comes to: the items that are new, and those taken before that do not stand yet."""
--- a/leadrudder/interlocking/requests.py
+++ b/leadrudder/interlocking/requests.py
@@ -5,7 +5,7 @@
 import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from enum import Enum, auto
+from enum import IntEnum, auto
 from typing import TYPE_CHECKING
 
 from leadrudder.interlocking.outputs import Code
@@ -24,7 +24,7 @@
 SETTLE_AFTER = 4  # reads, after which the section is claimed so that what was left half done stands
 
 
-class Phase(Enum):
+class Phase(IntEnum):
     """Where a call over several sections stands. One within a single section is made at once."""
 
     RESERVE = auto()  # its versions are reserved, section by section in rising order
@@ -106,7 +106,7 @@
     # ------------------------------------------------------------ changes
 
     def change(self, number: int, items: list[Item]) -> None:
-        identity = call_id(items)
+        identity = call_id(items) if len(items) > 1 else 0  # one that has no parts is refused or not
         parts: dict[int, list[Item]] = {}
         for item in items:
             item.call = identity
--- a/leadrudder/proving/world.py
+++ b/leadrudder/proving/world.py
@@ -12,6 +12,7 @@
 from itertools import combinations
 from typing import Any, NamedTuple
 
+from leadrudder.interlocking.contact import Contact
 from leadrudder.interlocking.machine import Interlocking
 from leadrudder.interlocking.outputs import Code
 from leadrudder.proving.local import (
@@ -112,6 +113,16 @@
     held: frozenset[Move] = frozenset()  # sources that give nothing
 
 
+class Unasked(Contact):
+    """Asks nobody: it decides nothing here, and its numbers would make every state a new one.
+
+    What rests on it, telling stations, is played in rehearsals (tests/mesh/test_orders.py).
+    """
+
+    def tick(self) -> None:
+        """Nothing is asked."""
+
+
 @dataclass(frozen=True, slots=True)
 class Call:
     """An operator's change, or a read where there are no items; tries: how often it may be sent."""
@@ -161,7 +172,7 @@
         seeds = self.addresses[: min(3, scene.machines)]
 
         def make(address: str, life: int, first_run: bool, disk: dict[str, bytes]) -> Interlocking:
-            return Interlocking(
+            machine = Interlocking(
                 address,
                 "zone",
                 first_run=first_run,
@@ -171,6 +182,8 @@
                 kept=disk,
                 sections=scene.sections,
             )
+            machine.contact = Unasked(machine)
+            return machine
 
         self.locals = Locals(make)
 
