--- a/leadrudder/emulation/fleet.py
+++ b/leadrudder/emulation/fleet.py
@@ -247,6 +247,10 @@
         elif kind == "station":
             machine.station = None
 
+    def stand_still(self, machine: Machine, kind: str, span_s: float) -> None:
+        """A process does nothing for a while; what was due meanwhile it does afterwards."""
+        machine.loops[kind].frozen_until = int((self.now + span_s) * MICROSECONDS)
+
     # ------------------------------------------------------------ operators and clients
 
     def operate(self, work: Callable[[], Coroutine[Any, Any, Any]]) -> None:
--- a/leadrudder/rehearsal/course.py
+++ b/leadrudder/rehearsal/course.py
@@ -287,6 +287,7 @@
         running = [m.address for m in self._running()]
         if sorted(read) != sorted(running):
             world.broken(f"only {read} of {running} answer in calm")
+        world.explained()
         self._sized(running)
         if self._open:
             world.broken(f"{self._open} changes have no answer in calm")
--- a/leadrudder/rehearsal/stations.py
+++ b/leadrudder/rehearsal/stations.py
@@ -23,6 +23,9 @@
     book: Book = field(default_factory=Book)
     home: str = ""
     life: int = 0  # of the home's process
+    had: dict[str, list[tuple[int, float]]] = field(
+        default_factory=dict
+    )  # versions by key, and when they came
 
 
 class Stations:
@@ -94,7 +97,8 @@
 
     def _take(self, station: Station, items: Iterable[Item]) -> None:
         before = {item.key: station.book.items.get(item.key) for item in items}
-        station.book.take(items)
+        for item in station.book.take(items):
+            station.had.setdefault(item.key, []).append((item.version, self._world.now))
         for key, old in before.items():
             new = station.book.items[key]
             if old is not None and new.version < old.version:
@@ -103,6 +107,21 @@
             if self._world.values.get((key, new.version)) != value:
                 self._world.broken(f"a station has {key} version {new.version}, which never stood")
 
+    def latest_s(self) -> float:
+        """The longest from the acknowledgement of a version until every station had it or a later one."""
+        longest = 0.0
+        for told in self._world.acknowledgements:
+            had = [
+                min(
+                    (at for version, at in station.had.get(told.key, ()) if version >= told.version),
+                    default=None,
+                )
+                for station in self.stations
+            ]
+            late = [at - told.at for at in had if at is not None]
+            longest = max([longest, *late])
+        return longest
+
     def end(self) -> None:
         """In calm every station has all that was acknowledged."""
         world = self._world
--- a/leadrudder/rehearsal/world.py
+++ b/leadrudder/rehearsal/world.py
@@ -9,6 +9,9 @@
 from __future__ import annotations
 
 import heapq
+import math
+import time
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -16,6 +19,7 @@
 from leadrudder.interlocking.lease import SWEEP
 from leadrudder.interlocking.machine import Interlocking
 from leadrudder.interlocking.outputs import Answer, Code, Output, Send, Stands, Write
+from leadrudder.rehearsal.history import Operation, Outcome, Register, wrong_keys
 from leadrudder.timetable.book import Book
 from leadrudder.timetable.items import ORDERS
 from leadrudder.waybill.waybill_pb2 import Frame, Item
@@ -93,10 +97,15 @@
         self.refused: set[tuple[str, int, bytes]] = set()
         self.acknowledged: dict[str, Item] = {}
         self.acknowledgements: list[Acknowledged] = []  # all, in their order
+        self.history: list[Operation] = []  # orders and reads, as operators know them
         self.owners: dict[tuple[int, int], str] = {}
         self.answers: dict[tuple[str, int], Callable[[Answer], None]] = {}
         self._numbers = 0
         self.on_stands: list[Callable[[Machine, tuple[Item, ...]], None]] = []
+        self.events_most = EVENTS_MOST
+        self.bytes_to: Counter[str] = Counter()  # of frames, by receiver
+        self.largest_frame = 0  # bytes
+        self.longest_step_s = 0.0  # real time of one machine's handling of one frame
         self.held = 0  # steps at which somebody held the duty
         for machine in self.machines.values():
             self.at(0.1 * self.rng.random(), self._starter(machine))
@@ -115,7 +124,7 @@
     def play(self, until: float) -> None:
         while self._events and self._events[0][0] <= until:
             self.now, _, do = heapq.heappop(self._events)
-            if self._count > EVENTS_MOST:
+            if self._count > self.events_most:
                 self.broken("frames go round and round")
             do()
         self.now = until
@@ -275,6 +284,8 @@
         when = max(self.now + self.rng.uniform(*DELAY_S), wire.last.get(send.to, 0.0))
         wire.last[send.to] = when
         data = send.frame.SerializeToString()
+        self.bytes_to[send.to] += len(data)
+        self.largest_frame = max(self.largest_frame, len(data))
 
         def arrive() -> None:
             receiver = self._running(send.to)
@@ -287,7 +298,10 @@
 
     def _arrive(self, machine: Machine, life: int, peer: str, frame: Frame) -> None:
         if machine.process is not None and machine.life == life:
-            self._carry_out(machine, machine.process.frame(peer, frame, self.now))
+            began = time.perf_counter()
+            outputs = machine.process.frame(peer, frame, self.now)
+            self.longest_step_s = max(self.longest_step_s, time.perf_counter() - began)
+            self._carry_out(machine, outputs)
 
     # ------------------------------------------------------------ outputs
 
@@ -373,8 +387,16 @@
             return
         self._numbers += 1
         number = self._numbers
+        began = self.now
+        tried = [self._operation(item, Outcome.UNKNOWN, began, math.inf) for item in items]
+        self.history += tried
 
         def judged(answer: Answer) -> None:
+            outcome = self._outcome(answer, items)
+            if outcome is not Outcome.UNKNOWN:
+                for each in tried:
+                    self.history.remove(each)
+                self.history += [self._operation(item, outcome, began, self.now) for item in items]
             if answer.code is Code.DONE:
                 for item in items:
                     self.acknowledgements.append(Acknowledged(self.now, item.key, item.version))
@@ -394,6 +416,25 @@
 
         self._when_it_runs(machine, take)
 
+    @staticmethod
+    def _operation(item: Item, outcome: Outcome, began: float, ended: float) -> Operation:
+        value = b"" if item.dropped else b"=" + item.value
+        return Operation(item.key, outcome, Register(item.version, value), began, ended)
+
+    @staticmethod
+    def _outcome(answer: Answer, items: list[Item]) -> Outcome:
+        """A refusal of several does not tell which of them is refused."""
+        if answer.code is Code.DONE:
+            return Outcome.CONFIRMED
+        alone = len(items) == 1 and not items[0].key.startswith(ORDERS)
+        return Outcome.REFUSED if answer.code is Code.CONFLICT and alone else Outcome.UNKNOWN
+
+    def explained(self) -> None:
+        """All answers so far are such as one register a key would have given."""
+        wrong = wrong_keys(each for each in self.history if not each.key.startswith(ORDERS))
+        if wrong:
+            self.broken(f"the answers about {wrong[0]} fit no order of events")
+
     def _refused(self, items: Iterable[Item]) -> None:
         """A call was refused: no part of it may stand, before or after.
 
@@ -413,11 +454,14 @@
         self._numbers += 1
         number = self._numbers
         owed = dict(self.acknowledged)
+        began = self.now
 
         def judged(answer: Answer) -> None:
             if answer.code is Code.DONE:
                 found = Book()
                 found.take(answer.items)
+                for item in found.items.values():
+                    self.history.append(self._operation(item, Outcome.READ, began, self.now))
                 for key, item in owed.items():
                     got = found.items.get(key)
                     if got is None or got.version < item.version:
--- /dev/null
+++ b/leadrudder/rehearsal/worst_days.py
@@ -0,0 +1,288 @@
+"""Days that once went wrong for users, each brought about on purpose and measured.
+
+A control machine cut off or standing still for 20 s; a second loss at any moment after a first; hundreds to
+thousands of changes with members that come back empty; calls while nodes stand still and restart. Each
+function plays one day from its seed and raises Broken where a rule does not hold. Times are seconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+from leadrudder.emulation.fleet import Bookings, Fleet, Machine, Plan
+from leadrudder.interlocking.outputs import Answer, Code
+from leadrudder.rehearsal.stations import Stations
+from leadrudder.rehearsal.world import Broken, World
+from leadrudder.rehearsal.world import Machine as CoreMachine
+from leadrudder.waybill.waybill_pb2 import Item
+
+KEYS = tuple(f"routes/r{i}" for i in range(8))
+BEGIN_S = 5.0  # the first order; by then every section has an owner
+PATIENCE_S = 1.0  # an operator goes to another machine after so long without an answer
+PAUSE_S = 0.1  # before it sends again
+CALM_S = 10.0  # after the last fault, in which everything must come right
+
+
+class Fault(StrEnum):
+    """How a control machine is out of reach."""
+
+    CUT = "cut from the other control machines"
+    NOTHING_OUT = "nothing that it sends to them arrives"
+    NOTHING_IN = "nothing that they send arrives"
+    STANDSTILL = "its process stands still"
+    SLOW_DISK = "its disk takes thirty times as long"
+
+
+class Operator:
+    """Sends orders, each again to another machine until it is confirmed; at most eight are open."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._versions = dict.fromkeys(KEYS, 0)
+        self.waits: list[float] = []  # from the first sending of an order to its confirmation
+        self.refused = 0
+        self.open = 0
+
+    def every(self, gap_s: float, until: float, keys: Iterable[str] = KEYS) -> None:
+        names = tuple(keys)
+        count = 0
+
+        def send() -> None:
+            nonlocal count
+            if self._world.now >= until:
+                return
+            if self.open < 8:
+                self.order(names[count % len(names)])
+                count += 1
+            self._world.after(gap_s, send)
+
+        send()
+
+    def order(self, key: str) -> None:
+        self._versions[key] = version = self._versions.get(key, 0) + 1
+        world, began = self._world, self._world.now
+        item = Item(key=key, version=version, value=b"value %d" % version)
+        self.open += 1
+        ended = False
+
+        def send(skipped: str) -> None:
+            if ended:
+                return
+            there = [m for m in world.machines.values() if m.process is not None and m.address != skipped]
+            if not there:
+                world.after(PAUSE_S, lambda: send(""))
+                return
+            machine = world.rng.choice(there)
+            answered = False
+
+            def take(answer: Answer) -> None:
+                nonlocal answered, ended
+                answered = True
+                if ended:
+                    return
+                if answer.code is Code.BUSY:
+                    world.after(PAUSE_S, lambda: send(machine.address))
+                    return
+                ended = True
+                self.open -= 1
+                self.refused += answer.code is Code.CONFLICT
+                self.waits.append(world.now - began)
+
+            world.call(machine, [item], take)
+            world.after(PATIENCE_S, lambda: None if answered else send(machine.address))
+
+        send("")
+
+
+@dataclass(frozen=True, slots=True)
+class CutOff:
+    """What a machine that was out of reach cost."""
+
+    orders: int
+    ack_max_s: float  # the longest that an order waited, sent to any machine first
+    apply_max_s: float  # from a confirmation until the last station had it
+
+
+def cut_off(seed: int, fault: Fault, span_s: float = 20.0, stations: int = 6) -> CutOff:
+    world = World(seed)
+    told = Stations(world, stations)
+    world.play(BEGIN_S)
+    operator = Operator(world)
+    machine = list(world.machines.values())[seed % len(world.machines)]
+    others = [m.address for m in world.machines.values() if m is not machine]
+    if fault is Fault.STANDSTILL:
+        world.at(6.0, lambda: world.freeze(machine))
+        world.at(6.0 + span_s, lambda: world.thaw(machine))
+    elif fault is Fault.SLOW_DISK:
+        world.at(6.0, lambda: setattr(machine, "slow", 30.0))
+        world.at(6.0 + span_s, lambda: setattr(machine, "slow", 1.0))
+    else:
+        ends = ([machine.address], others)
+        one, other = ends if fault is not Fault.NOTHING_IN else ends[::-1]
+        world.at(6.0, lambda: world.cut(one, other, one_way=fault is not Fault.CUT))
+        world.at(6.0 + span_s, world.heal)
+    operator.every(0.4, 6.0 + span_s)
+    world.play(6.0 + span_s + CALM_S)
+    if operator.open or operator.refused:
+        world.broken(f"{operator.open} orders have no answer in calm, {operator.refused} were refused")
+    world.explained()
+    told.end()
+    return CutOff(len(operator.waits), max(operator.waits), told.latest_s())
+
+
+class Loss(StrEnum):
+    """The first of two losses in a row."""
+
+    WIPED = "its disk is lost, and it is back at once"
+    REPLACED = "gone for good, an empty one comes"
+    RESTARTED = "killed, and back at once"
+
+
+def two_losses(seed: int, first: Loss, after_s: float) -> bool:
+    """The second loses power after_s after the first loss; its disk too where the first is whole again.
+
+    Returns whether the second lost its disk.
+    """
+    world = World(seed)
+    world.play(BEGIN_S)
+    operator = Operator(world)
+    operator.every(0.15, 12.0)
+    one, two, _ = world.rng.sample(list(world.machines.values()), 3)
+    fresh: list[CoreMachine] = [one]
+
+    def lose_first() -> None:
+        if first is Loss.REPLACED:
+            fresh[0] = world.replace(one, "10.60.0.1:1")
+            return
+        world.kill(one, wipe=first is Loss.WIPED)
+        world.after(0.1, lambda: world.start(one))
+
+    wiped: list[bool] = []
+
+    def lose_second() -> None:
+        process = fresh[0].process
+        wiped.append(process is not None and process.seats.full)
+        world.kill(two, power=True, wipe=wiped[0])
+        world.after(1.5, lambda: world.start(two))
+
+    world.at(6.0, lose_first)
+    world.at(6.0 + after_s, lose_second)
+    world.play(14.0 + CALM_S)
+    if operator.open or operator.refused:
+        world.broken(f"{operator.open} orders have no answer in calm, {operator.refused} were refused")
+    world.explained()
+    read_back(world)
+    return wiped[0]
+
+
+def read_back(world: World) -> None:
+    """Every machine answers a read in calm; the world holds it against what was acknowledged."""
+    answers: list[Code] = []
+    running = [m for m in world.machines.values() if m.process is not None]
+    for machine in running:
+        world.read(machine, lambda answer: answers.append(answer.code))
+    world.play(world.now + 2.0)
+    if answers != [Code.DONE] * len(running):
+        world.broken(f"reads in calm end with {answers}")
+
+
+@dataclass(frozen=True, slots=True)
+class CatchUp:
+    """What it takes a member to be useful again after many changes.  bytes: sent to it until then."""
+
+    changes: int
+    restarted_s: float
+    wiped_s: float
+    absent_s: float
+    wiped_bytes: int
+    largest_frame: int  # bytes, of the whole play
+    longest_step_s: float  # of real processor time, for one input of one machine
+
+
+def many_changes(seed: int, changes: int, keys: int) -> CatchUp:
+    """A member restarted in the middle, one that comes back empty, and one that was away for a third."""
+    world = World(seed)
+    world.events_most = 400 * changes + 400_000
+    world.play(BEGIN_S)
+    operator = Operator(world)
+    names = [f"routes/r{i}" for i in range(keys)]
+    position = 0
+
+    def change(count: int) -> None:
+        nonlocal position
+        for end in range(position + 8, position + count + 8, 8):
+            while position < min(end, position + count, changes):
+                operator.order(names[position % keys])
+                position += 1
+            while operator.open:
+                world.play(world.now + 0.02)
+
+    def useful(machine: CoreMachine) -> float:
+        """Seconds until it is full and knows all that stands elsewhere."""
+        began = world.now
+        others = [m.process for m in world.machines.values() if m is not machine and m.process is not None]
+        while world.now < began + 60.0:
+            process = machine.process
+            whole = process is not None and process.seats.full and process.owner.complete()
+            if whole and process is not None:
+                known = process.standing.digest
+                if all(known == other.standing.digest for other in others):
+                    return world.now - began
+            world.play(world.now + 0.02)
+        world.broken(f"{machine.address} has not caught up after a minute")
+        return 0.0
+
+    one, two, three = world.machines.values()
+    change(changes // 3)
+    world.kill(one)
+    world.start(one)
+    restarted_s = useful(one)
+    world.kill(two, power=True)
+    change(changes // 3)
+    world.start(two)
+    absent_s = useful(two)
+    change(changes - position)
+    world.kill(three, power=True, wipe=True)
+    before = world.bytes_to[three.address]
+    world.start(three)
+    wiped_s = useful(three)
+    wiped_bytes = world.bytes_to[three.address] - before
+    read_back(world)
+    return CatchUp(
+        changes, restarted_s, wiped_s, absent_s, wiped_bytes, world.largest_frame, world.longest_step_s
+    )
+
+
+def calls(seed: int, plan: Plan, faults: int = 6) -> Bookings:
+    """Requests of which some may run once only, while nodes stand still and nodes and servers are killed."""
+    fleet = Fleet(seed, plan)
+    rng = Random(f"calls/{seed}")
+    begin, end = plan.traffic
+    for _ in range(faults):
+        machine = rng.choice(fleet.side)
+        at = rng.uniform(begin + 1.0, end - 6.0)
+        fleet.at(at, _strike(fleet, machine, rng))
+    fleet.play(end + 4.0)
+    told = Bookings.of(fleet)
+    if told.twice or told.lost or fleet.faults:
+        raise Broken(f"seed {seed}: {told}, faults {fleet.faults[:2]}")
+    return told
+
+
+def _strike(fleet: Fleet, machine: Machine, rng: Random) -> Callable[[], None]:
+    kind = rng.choice(("node stands still", "server stands still", "node killed", "control stands still"))
+    span = rng.uniform(0.2, 4.0)
+
+    def strike() -> None:
+        if kind == "node killed":
+            fleet.kill(machine, "station")
+            fleet.at(fleet.now + 0.3, lambda: fleet.start_station(machine))
+            return
+        place = rng.choice(fleet.core) if kind == "control stands still" else machine
+        loop = "signalbox" if place is not machine else "server" if kind.startswith("server") else "station"
+        fleet.stand_still(place, loop, span)
+
+    return strike
