--- a/bench/control.py
+++ b/bench/control.py
@@ -22,8 +22,8 @@
 from leadrudder.interlocking.outputs import SECTIONS, Answer, Code, Output, Send, Write, section_of
 from leadrudder.proving.scenes import SCENES, WALKED
 from leadrudder.proving.search import Found, Search
-from leadrudder.proving.world import ALL
-from leadrudder.proving.world import Broken as SmallBroken
+from leadrudder.proving.state import ALL
+from leadrudder.proving.state import Broken as SmallBroken
 from leadrudder.rehearsal.course import FAULTS, RESIZING, Course
 from leadrudder.rehearsal.world import Broken, Machine, World
 from leadrudder.timetable.items import CORE
--- a/leadrudder/proving/scenes.py
+++ b/leadrudder/proving/scenes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from leadrudder.proving.local import Fact
-from leadrudder.proving.world import REST, Call, Left, Move, Scene
+from leadrudder.proving.state import REST, Call, Left, Move, Scene
 from leadrudder.timetable.items import CORE
 
 ONE, TWO = "routes/r4", "routes/r1"  # in sections 0 and 1 of two
--- a/leadrudder/proving/search.py
+++ b/leadrudder/proving/search.py
@@ -11,7 +11,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from leadrudder.proving.world import FREE, Broken, Move, Scene, State, World
+from leadrudder.proving.folding import swapped
+from leadrudder.proving.state import FREE, Broken, Move, Scene, State
+from leadrudder.proving.world import World
 from leadrudder.simulation.shrink import ddmin
 
 
@@ -126,7 +128,7 @@
         def swap(data: bytes) -> bytes:
             return two.join(part.replace(two, one) for part in data.split(one))
 
-        return world.swapped(state, swap)
+        return swapped(world.locals, state, swap)
 
     # ------------------------------------------------------------ courses and stories
 
--- a/tests/mesh/plants.py
+++ b/tests/mesh/plants.py
@@ -20,7 +20,7 @@
 from leadrudder.interlocking.requests import Change, Phase, Requests
 from leadrudder.interlocking.seating import Seating
 from leadrudder.interlocking.seats import Seats
-from leadrudder.proving.world import Move
+from leadrudder.proving.state import Move
 from leadrudder.rehearsal.course import FAULTS, RESIZING, Course
 from leadrudder.waybill import waybill_pb2 as wire
 from leadrudder.waybill.waybill_pb2 import Frame, Item, Seat
--- a/tests/mesh/test_proving.py
+++ b/tests/mesh/test_proving.py
@@ -8,8 +8,8 @@
 
 from leadrudder.proving.scenes import SCENES, WALKED
 from leadrudder.proving.search import Search
+from leadrudder.proving.state import ALL
 from leadrudder.proving.windows import State, Windows
-from leadrudder.proving.world import ALL
 from tests.mesh.plants import AT_ONCE, COURSES, DIRECTED, PLANTS, SHOWN_BY, SHOWN_IN, UNSHOWN
 
 QUICK = 10_000  # states; faults that take more are looked for by `python -m bench.control`
