--- a/tests/mesh/plants.py
+++ b/tests/mesh/plants.py
@@ -545,8 +545,8 @@
     "granted_anew_after_a_restart": ("duty", 50_000),
     "found_is_not_copied": ("handed", 120_000),
 }
-# Shown by a course of its own in tests/mesh/test_orders.py.
-DIRECTED = ("reserved_in_no_order", "links_believed")
+# Shown by a course of its own in tests/mesh/test_orders.py or test_rehearsal.py.
+DIRECTED = ("reserved_in_no_order", "links_believed", "new_seat_by_one")
 AT_ONCE = ("older_overwrites_newer",)  # frames go round before the first trouble
 
 # Courses of large worlds that show faults which few seeds do.
@@ -556,6 +556,5 @@
     "promise_not_written": Course(3, faults=10),
     "promised_to_all": Course(273, faults=10, kinds=FAULTS + 2 * RESIZING),
     "old_epoch_taken": Course(489, 5, faults=14, calls=24),
-    "new_seat_by_one": Course(46, faults=8, kinds=RESIZED),
     "closed_without_filling": Course(180, 5, faults=8, kinds=RESIZED),
 }
--- a/tests/mesh/test_rehearsal.py
+++ b/tests/mesh/test_rehearsal.py
@@ -5,7 +5,9 @@
 import unittest
 
 from leadrudder.rehearsal.course import FAULTS, RESIZING, Course, cut, rule
-from leadrudder.rehearsal.world import Broken
+from leadrudder.rehearsal.world import Broken, World
+from leadrudder.timetable.items import CORE
+from leadrudder.waybill.waybill_pb2 import Item
 from tests.mesh.plants import PLANTS, RESIZED, SHOWN_BY
 
 # Planted faults that one seed shows: seed, machines. All of them: docs/design/control-state.md.
@@ -47,6 +49,29 @@
         # Two newcomers had two grants of four each, and those who gave them had forgotten when: for good.
         Course(258, faults=8, kinds=RESIZED).play()
 
+    def _one_seat_with_two_holders(self, seed: int) -> bool:
+        """Two newcomers ask for a seat more at once; the three that grant hear them in any order."""
+        world = World(seed)
+        world.play(4.0)
+        newcomers = [world.join(f"10.5{i}.0.1:1") for i in range(2)]
+        world.play(6.0)
+        first = next(iter(world.machines.values()))
+        world.call(first, [Item(key=CORE, version=1, value=b"5")], lambda answer: None)
+        held: list[set[int]] = [set(), set()]
+        while world.now < 8.0:
+            world.play(world.now + 0.005)
+            for seats, newcomer in zip(held, newcomers, strict=True):
+                process = newcomer.process
+                mine = process.seats.mine() if process is not None and process.seats.full else None
+                seats |= {mine} if mine is not None else set()
+        return bool(held[0] & held[1])
+
+    def test_a_seat_more_is_granted_by_a_majority(self) -> None:
+        shown = (90, 110, 113, 315)  # of 0 to 399: both must hold it before either hears of the other
+        self.assertFalse(any(map(self._one_seat_with_two_holders, (*range(16), *shown))))
+        with PLANTS["new_seat_by_one"]():
+            self.assertTrue(any(map(self._one_seat_with_two_holders, shown)))
+
     def test_two_closings_that_began_at_once_are_both_settled(self) -> None:
         Course(384, faults=8, kinds=RESIZED).play()
 
