--- a/bench/window.py
+++ b/bench/window.py
@@ -99,6 +99,7 @@
     stages: tuple[tuple[float, str], ...] = ()
     late: int = 0  # stations that held the machine as lent after the loan's end
     touched: int = 0  # that ever held any machine as lent
+    back_share: float = 0.0  # of requests, against the mean of its like, from the end of its return on
 
 
 def ordinary(seed: int) -> Day:
@@ -130,6 +131,7 @@
     answers: list[tuple[int, bytes]] = []
     stages: list[tuple[float, str]] = []
     touched: set[float] = set()
+    before: dict[str, int] = {}  # what servers of the service had run when the machine was back
     late = out = 0
 
     async def operate() -> None:
@@ -147,6 +149,8 @@
         stage = str(step.stage) if step is not None else ""
         if stage and (not stages or stages[-1][1] != stage):
             stages.append((fleet.now, stage))
+        if stage == "back" and not before:
+            before = _runs(fleet)
         if lent(fleet, machine):
             touched.add(fleet.now)
             late += step is not None and fleet.wall > step.back + 0.25
@@ -158,8 +162,11 @@
             if lost is not None:
                 fleet.kill(lost, "signalbox")
                 fleet.at(fleet.now + 6.0, lambda m=lost: fleet.start_signalbox(m))  # type: ignore[misc]
+    since = {name: ran - before.get(name, 0) for name, ran in _runs(fleet).items()}
+    others = [ran for name, ran in since.items() if name != machine.name]
     return _day(
         fleet,
+        back_share=since[machine.name] / max(1.0, sum(others) / len(others)) if before else 0.0,
         answer=answers[-1][0] if len(answers) == 2 else 0,
         out=out,
         stages=tuple(stages),
@@ -168,6 +175,13 @@
     )
 
 
+def _runs(fleet: Fleet) -> dict[str, int]:
+    """What each server of the look-ups' service has run."""
+    return {
+        m.name: sum(m.server.runs.values()) for m in fleet.side if m.service == "kal" and m.server is not None
+    }
+
+
 def _holds(machine: Machine, now: float) -> bool:
     box = machine.signalbox
     return box is not None and box.interlocking.leases.holds(POSSESSION, now)
@@ -214,6 +228,7 @@
     print(
         f"{line} lookup_p50_ratio={_ratio(with_window, plain, 0.5):.3f} "
         f"lookup_p99_ratio={_ratio(with_window, plain, 0.99):.3f} "
+        f"back_share={sum(d.back_share for d in days) / len(days):.2f} "
         f"outside_hours_touched={sum(d.touched for d in outside)} put_back_late={sum(d.late for d in days)}"
     )
     return 1 if wrong or any(d.answer != 409 for d in outside) else 0
