--- a/leadrudder/emulation/fleet.py
+++ b/leadrudder/emulation/fleet.py
@@ -199,6 +199,7 @@
                 wall=lambda: self.wall,
                 writer=lambda store, told: Syncing(store, rng),
                 store=machine.disk,
+                monotonic=lambda: self.now,
             )
             await machine.signalbox.start()
 
--- a/leadrudder/signalbox/operator.py
+++ b/leadrudder/signalbox/operator.py
@@ -13,7 +13,7 @@
 from leadrudder.interlocking.outputs import Answer, Code
 from leadrudder.interlocking.repair import Owed
 from leadrudder.rulebook.ring import Ring
-from leadrudder.telegraph.http import Call, Told
+from leadrudder.telegraph.http import PLAIN_TEXT, Call, Told
 from leadrudder.timetable import check
 from leadrudder.timetable.book import Book
 from leadrudder.timetable.items import CORE, EVACUATION, SEATS_MOST, SERVICE
@@ -32,7 +32,7 @@
     """known: what this process holds of the control state; change and read: through the interlocking.
 
     pack: items as a snapshot.  owed: what other holders of seats miss.  core: who holds which seat.  least:
-    the fewest seats that bear the losses that are to be borne.
+    the fewest seats that bear the losses that are to be borne.  metrics: this process's figures, as text.
     """
 
     def __init__(
@@ -47,8 +47,9 @@
         core: Callable[[], dict[str, Any]] = dict,
         least: int = 1,
         more: Callable[[Call], Awaitable[Told | None]] | None = None,
+        metrics: Callable[[], bytes] = bytes,
     ) -> None:
-        self._more = more
+        self._more, self._metrics = more, metrics
         self._core, self._least = core, least
         self._pack, self._owed = pack, owed
         self._known, self._change, self._read = known, change, read
@@ -78,7 +79,13 @@
                         return await self._size(seats)
                     case "GET", ("ring",):
                         return Told(200, "\n".join(self._ring.lines()).encode() + b"\n")
-                    case _, ("config" | "ring" | "snapshot" | "repair" | "core",) | ("evacuate" | "core", _):
+                    case "GET", ("metrics",):
+                        return Told(200, self._metrics(), PLAIN_TEXT)
+                    case (
+                        _,
+                        ("config" | "ring" | "metrics" | "snapshot" | "repair" | "core",)
+                        | ("evacuate" | "core", _),
+                    ):
                         return Told(405)
                     case _:
                         told = await self._more(call) if self._more is not None else None
--- a/leadrudder/signalbox/program.py
+++ b/leadrudder/signalbox/program.py
@@ -17,6 +17,8 @@
 from leadrudder.interlocking.lease import DUTIES, POSSESSION, SWEEP
 from leadrudder.interlocking.machine import Interlocking
 from leadrudder.interlocking.outputs import Answer, Note, Output, Send, Stands, Write
+from leadrudder.observability.loop_lag import LoopLag
+from leadrudder.observability.metrics import Metrics
 from leadrudder.register import homes
 from leadrudder.register.register import Register
 from leadrudder.rulebook.ring import Ring
@@ -52,6 +54,7 @@
         wall: Callable[[], float] = time.time,
         writer: Callable[[Store, Callable[[str], None]], Writes] = Writer,
         store: Store | None = None,
+        monotonic: Callable[[], float] | None = None,
     ) -> None:
         """possession: maintenance windows are on.  The others are the simulation's."""
         self.settings = settings
@@ -60,6 +63,7 @@
         self._possessions: Possessions | None = None
         self.address = f"{settings.ip}:{settings.signal_port}"
         self.ring = Ring(settings.name)
+        self._lag = LoopLag(time.monotonic if monotonic is None else monotonic)
         self._loop = asyncio.get_running_loop()
         self._store: Store = store or (
             DumbStore(settings.data_folder) if settings.data_folder else MemoryStore()
@@ -111,6 +115,7 @@
             self.interlocking.told_core,
             2 * self.settings.losses + 1,
             self._possessions.dispatch if self._possessions is not None else None,
+            self._metrics().text,
         )
         self._control = ControlServer(operator.dispatch, lambda e: self.ring.wrong(f"fault: {e!r}"))
         host, port = self.address.rsplit(":", 1)
@@ -122,6 +127,20 @@
         self._tick()
         self._dial_all()
 
+    def _metrics(self) -> Metrics:
+        metrics = Metrics()
+        metrics.add("sessions", lambda: len(self._sessions))
+        metrics.add("members", lambda: len(self._register.members()))
+        metrics.add("items", lambda: len(self.interlocking.book.items))
+        metrics.add("operator_calls_open", lambda: len(self._waiting))
+        metrics.add(
+            "session_unsent_bytes", lambda: max((link.unsent() for link in self._sessions), default=0)
+        )
+        metrics.add("loop_lag_seconds", self._lag.seconds)
+        metrics.add("loop_lag_highest_seconds", lambda: self._lag.highest_s)
+        metrics.add("process_cpu_seconds_total", time.process_time)
+        return metrics
+
     async def _open(self) -> dict[str, bytes]:
         """What the disk holds; one that refuses is tried again for a while."""
         for _ in range(OPEN_TRIES):
--- a/leadrudder/station/beats.py
+++ b/leadrudder/station/beats.py
@@ -1,4 +1,7 @@
-"""The server's own calls: beats and signing off, one dispatch on method and path segments.  And /ready."""
+"""The server's own calls: beats and signing off, one dispatch on method and path segments.
+
+And what the platform asks: /ready and /metrics.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +13,7 @@
 from marshmallow import EXCLUDE, Schema, ValidationError, fields
 
 from leadrudder.rulebook.settings import Duration
-from leadrudder.telegraph.http import Call, Told
+from leadrudder.telegraph.http import PLAIN_TEXT, Call, Told
 
 BEAT_MOST = 4096  # bytes
 _JSON = b"Content-Type: application/json\r\n"
@@ -61,12 +64,19 @@
 
 
 class Beats:
-    """beat and left take in what the server says; ready tells whether clients may come."""
+    """beat and left take in what the server says; ready tells whether clients may come.
+
+    metrics: this process's figures, as text.
+    """
 
     def __init__(
-        self, beat: Callable[[Beat], None], left: Callable[[str], None], ready: Callable[[], bool]
+        self,
+        beat: Callable[[Beat], None],
+        left: Callable[[str], None],
+        ready: Callable[[], bool],
+        metrics: Callable[[], bytes] = bytes,
     ) -> None:
-        self._beat, self._left, self._ready = beat, left, ready
+        self._beat, self._left, self._ready, self._metrics = beat, left, ready, metrics
 
     async def dispatch(self, call: Call) -> Told:
         match call.method, call.segments:
@@ -77,7 +87,9 @@
                 return Told(200)
             case "GET", ("ready",):
                 return Told(200 if self._ready() else 503)
-            case _, ("servers", _) | ("ready",):
+            case "GET", ("metrics",):
+                return Told(200, self._metrics(), PLAIN_TEXT)
+            case _, ("servers", _) | ("ready" | "metrics",):
                 return Told(405)
             case _:
                 return Told(404)
--- a/leadrudder/station/program.py
+++ b/leadrudder/station/program.py
@@ -15,6 +15,8 @@
 from returns.result import Success
 
 from leadrudder.node.platform import SYSTEM, Platform
+from leadrudder.observability.loop_lag import LoopLag
+from leadrudder.observability.metrics import Metrics
 from leadrudder.possession.ledger import Ledger, epoch_of
 from leadrudder.register import homes
 from leadrudder.register.register import Register
@@ -80,6 +82,10 @@
         self._serving: list[wire.Node] = []  # stations with a server, as far as we heard
         self._points: dict[tuple[str, str], Points] = {}
         self._purses: dict[str, Purse] = {}
+        self._lag = LoopLag(platform.monotonic)
+        self._passes = 0  # over all that is known, since the start
+        self._pass_seconds = 0.0
+        self._monotonic = platform.monotonic
         self._withdrawals: dict[Link, dict[int, Withdraw]] = {}
         self._terminated_at: float | None = None
         self._done = asyncio.Event()
@@ -108,7 +114,7 @@
             lambda: self._outbound.open < OPEN_MOST,
             BODIES_PART * settings.ram_mb * 1e6,
         )
-        beats = Beats(self._beat, self._left, self.ready)
+        beats = Beats(self._beat, self._left, self.ready, self._metrics().text)
         self._control = ControlServer(beats.dispatch, lambda e: self.ring.wrong(f"fault: {e!r}"))
         self._newsstand = Newsstand(
             settings.name,
@@ -148,6 +154,21 @@
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._done.wait()
 
+    def _metrics(self) -> Metrics:
+        metrics = Metrics()
+        metrics.add("items", lambda: len(self._book.items))
+        metrics.add("routes", lambda: len(self._timetable.routes))
+        metrics.add("balancers", lambda: len(self._points))
+        metrics.add("members", lambda: len(self._members.members()))
+        metrics.add("change_passes_total", lambda: self._passes)
+        metrics.add("change_pass_seconds_total", lambda: self._pass_seconds)
+        metrics.add("requests_open", lambda: self._outbound.open)
+        metrics.add("calls_running", lambda: self.gate.running)
+        metrics.add("loop_lag_seconds", self._lag.seconds)
+        metrics.add("loop_lag_highest_seconds", lambda: self._lag.highest_s)
+        metrics.add("process_cpu_seconds_total", time.process_time)
+        return metrics
+
     def ready(self) -> bool:
         """Whether clients may come: a configuration is in force here, and we are not about to end."""
         return self._terminated_at is None and bool(self._timetable.routes) and self._session.informed
@@ -279,6 +300,7 @@
 
     def _news(self, news: wire.News) -> None:
         """What a signalbox tells: items, members, or all of both."""
+        began = self._monotonic()
         if self._book.take(news.items):
             self._timetable = Timetable(self._book)
             if self._possession:
@@ -298,6 +320,8 @@
                 del self._members.nodes[name]
         self._newsstand.forget({node.name for node in self._members.members()})
         self._follow()
+        self._passes += 1
+        self._pass_seconds += self._monotonic() - began
 
     def _follow(self) -> None:
         """After any news of members, zones or routes."""
--- a/leadrudder/telegraph/http.py
+++ b/leadrudder/telegraph/http.py
@@ -16,6 +16,7 @@
 
 HEAD_MOST = 64 * 1024
 BODY_MOST = 16 * 1024 * 1024
+PLAIN_TEXT = b"Content-Type: text/plain\r\n"
 WAIT_S = 10.0  # for a call to come in whole, and for its answer to be read
 
 REASONS = {
--- a/leadrudder/telegraph/link.py
+++ b/leadrudder/telegraph/link.py
@@ -123,9 +123,13 @@
             self.cut()
         return True
 
+    def unsent(self) -> int:
+        """Bytes that wait here for the peer to read."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
     def sent_all(self) -> bool:
         """Whether nothing waits here for the peer to read."""
-        return self._transport is None or not self._transport.get_write_buffer_size()
+        return not self.unsent()
 
     def cut(self) -> None:
         """End it at once."""
--- /dev/null
+++ b/tests/mesh/test_metrics.py
@@ -0,0 +1,59 @@
+"""What a process tells of itself, and how far behind it knows itself to be."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from leadrudder.observability.loop_lag import BEHIND_S, CHECK_S, LoopLag
+from leadrudder.observability.metrics import Metrics
+from leadrudder.station.beats import Beats
+from leadrudder.telegraph.http import Call
+
+
+class Figures(unittest.TestCase):
+    def test_figures_are_read_when_they_are_asked_for(self) -> None:
+        metrics, counts = Metrics(), {"a": 1.0}
+        metrics.add("requests_total", lambda: 7)
+        metrics.add_labelled("violations_total", "name", lambda: counts)
+        counts["b"] = 2.5
+        lines = b'requests_total 7\nviolations_total{name="a"} 1\nviolations_total{name="b"} 2.5\n'
+        self.assertEqual(metrics.text(), lines)
+
+    def test_a_station_tells_them(self) -> None:
+        beats = Beats(lambda beat: None, lambda name: None, lambda: False, lambda: b"items 3\n")
+        told = asyncio.run(beats.dispatch(Call("GET", ("metrics",), b"")))
+        self.assertEqual((told.status, told.body), (200, b"items 3\n"))
+        self.assertEqual(asyncio.run(beats.dispatch(Call("PUT", ("metrics",), b""))).status, 405)
+
+
+class Lag(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.loop = mock.Mock()
+        with mock.patch("asyncio.get_running_loop", return_value=self.loop):
+            self.lag = LoopLag(lambda: self.now)
+
+    def check(self) -> None:
+        self.loop.call_later.call_args.args[1]()
+
+    def test_what_is_due_and_is_not_run_is_a_lag(self) -> None:
+        self.now += CHECK_S
+        self.assertEqual(self.lag.seconds(), 0.0)
+        self.now += 2 * BEHIND_S
+        self.assertAlmostEqual(self.lag.seconds(), 2 * BEHIND_S)
+        self.assertTrue(self.lag.behind())
+
+    def test_a_late_check_counts_until_the_next_one(self) -> None:
+        self.now += CHECK_S + 2 * BEHIND_S
+        self.check()  # what is run after it has waited as long
+        self.assertTrue(self.lag.behind())
+        self.now += CHECK_S
+        self.check()
+        self.assertFalse(self.lag.behind())
+        self.assertAlmostEqual(self.lag.highest_s, 2 * BEHIND_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
