--- a/leadrudder/node/servers.py
+++ b/leadrudder/node/servers.py
@@ -15,6 +15,7 @@
 from leadrudder.interface import Outcome, ServerId
 from leadrudder.node import contract
 from leadrudder.node.contract import Answer, Ask, HttpCall
+from leadrudder.node.dialling import connect
 from leadrudder.node.http import CONTENT_TYPE, LOAD, NOT_RUN, Message, MessageError, Reader, request_head
 from leadrudder.node.lists import Address, Listing
 from leadrudder.node.peers import PeerTable
@@ -85,6 +86,7 @@
         self._answer: Message | None = None
         self._reader = self.reader()
         self._transport: asyncio.Transport | None = None
+        self._given_up = False
 
     def reader(self) -> Reader:
         """What reads its answers."""
@@ -92,7 +94,16 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
-        self._servers.opened(self)
+        if self._given_up:
+            self._transport.abort()
+        else:
+            self._servers.opened(self)
+
+    def give_up_dial(self) -> None:
+        """The time to come up is over: it is not counted as open, and if it still comes up it is closed."""
+        self._given_up = True
+        self.abandon()
+        self._servers.closed(self)
 
     def usable(self) -> bool:
         return self._transport is not None and not self._transport.is_closing()
@@ -293,10 +304,7 @@
     async def _connect(self, peer: Peer, call: Call) -> None:
         host, port = peer.address
         try:
-            async with asyncio.timeout(self._connect_s):
-                _, connection = await self._loop.create_connection(
-                    lambda: self.connection(peer, self), host, port
-                )
+            connection = await connect(lambda: self.connection(peer, self), host, port, self._connect_s)
         except (OSError, TimeoutError):
             call.end(Outcome.CONNECT_FAILED)
             return
--- a/leadrudder/rpc/upstream.py
+++ b/leadrudder/rpc/upstream.py
@@ -16,6 +16,7 @@
 
 from leadrudder.interface import Outcome, ServerId
 from leadrudder.node.contract import Answer, Ask, Done, HttpCall, RpcCall
+from leadrudder.node.dialling import connect
 from leadrudder.node.lists import Address, Listing
 from leadrudder.node.peers import PeerTable
 from leadrudder.node.reports import Report
@@ -120,9 +121,18 @@
         self._choked = False
         self._last = 0
         self._transport: asyncio.Transport | None = None
+        self._given_up = False
+
+    def give_up_dial(self) -> None:
+        """The time to come up is over: it is not counted as open, and if it still comes up it is closed."""
+        self._given_up = True
+        self.break_off(Outcome.CONNECT_FAILED)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass
+        if self._given_up:
+            self._transport.abort()
+            return
         self._transport.set_write_buffer_limits(high=0)  # a frame is handed over when the one before has left
         self.heard = self.used = self._loop.time()
         self._servers.opened(self)
@@ -366,8 +376,7 @@
     async def _connect(self, peer: Peer, probe: Call | None) -> None:
         host, port = peer.address
         try:
-            async with asyncio.timeout(self.terms.connect_s):
-                await self._loop.create_connection(lambda: Connection(peer, self), host, port)
+            await connect(lambda: Connection(peer, self), host, port, self.terms.connect_s)
         except (OSError, TimeoutError):
             peer.opening -= 1
             self._failed(peer, probe)
--- a/leadrudder/station/outbound.py
+++ b/leadrudder/station/outbound.py
@@ -98,9 +98,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
-        self._leave()
         self._outbound.hold(self, 0)
         self._outbound.clients.pop(self, None)
+        self._leave()
 
     def _on_request(self, message: Message) -> None:
         if self._over:
--- a/leadrudder/telegraph/link.py
+++ b/leadrudder/telegraph/link.py
@@ -14,6 +14,7 @@
 
 from google.protobuf.message import DecodeError
 
+from leadrudder.node.dialling import connect
 from leadrudder.waybill.waybill_pb2 import Frame
 
 FRAME_MOST = 80 * 1024 * 1024  # bytes; more is no frame of ours
@@ -63,12 +64,16 @@
         self._buffer = bytearray()
         self._heard = self._loop.time()
         self._sent = 0.0
+        self._given_up = False
         self._timer: asyncio.TimerHandle | None = None
 
     # What asyncio calls.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        if self._given_up:
+            self._transport.abort()
+            return
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -117,7 +122,11 @@
     def send_packed(self, data: bytes) -> bool:
         if not self.up or self._transport is None or self._transport.is_closing():
             return False
-        self._transport.write(data)
+        try:
+            self._transport.write(data)
+        except RuntimeError:  # uvloop's, for a handle that it has closed and not told of yet
+            self._over()
+            return False
         self._sent = self._loop.time()
         if self._transport.get_write_buffer_size() > UNSENT_MOST:
             self.cut()
@@ -137,6 +146,11 @@
             self._transport.abort()
         self._over()
 
+    def give_up_dial(self) -> None:
+        """Nobody waits for it to come up any more: it never does, or it ends now."""
+        self._given_up = True
+        self.cut()
+
     def close(self) -> None:
         """End it when what was written has gone out."""
         if self._transport is not None:
@@ -180,10 +194,7 @@
 async def dial(address: str, make: Callable[[], Link]) -> Link | None:
     """A link to an address IP:PORT; None where it does not come up in time."""
     host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(CONNECT_S):
-            _, link = await loop.create_connection(make, host, int(port))
+        return await connect(make, host, int(port), CONNECT_S)
     except (OSError, TimeoutError, ValueError):
         return None
-    return link
