--- a/leadrudder/signalbox/possessions.py
+++ b/leadrudder/signalbox/possessions.py
@@ -23,9 +23,10 @@
 from leadrudder.possession.window import LENT, WINDOW, Window
 from leadrudder.rulebook.ring import Ring
 from leadrudder.telegraph.http import Call, Told
-from leadrudder.timetable.book import Book, Timetable
+from leadrudder.timetable.book import Book
 from leadrudder.timetable.check import Finding
 from leadrudder.timetable.items import CONTRACT, USED
+from leadrudder.timetable.routing_table import RoutingTable
 from leadrudder.waybill.waybill_pb2 import Item, Node
 
 KEPT = 50  # windows that are over
@@ -95,7 +96,7 @@
 
     def situation(self) -> Situation:
         book = self._book()
-        timetable = Timetable(book)
+        routing = RoutingTable(book)
         machines = {}
         for node in self._nodes():
             for server in node.servers:
@@ -107,7 +108,7 @@
             used[service] = {int(hour): float(n) for hour, n in json.loads(item.value).items()}
         return Situation(
             contract.standing(book.standing(CONTRACT).items()),
-            timetable.routes,
+            routing.routes,
             machines,
             window.standing(book.standing(WINDOW).items()),
             used,
--- a/leadrudder/station/newsstand.py
+++ b/leadrudder/station/newsstand.py
@@ -20,7 +20,10 @@
 
 
 class Newsstand:
-    """ask: asks our signalbox; fed: whether our session stands; changed: something is new."""
+    """ask: asks our signalbox; fed: whether our session stands.
+
+    heard: entries of these stations are new; sources_changed: links have changed, so follow() is due.
+    """
 
     def __init__(
         self,
@@ -28,11 +31,13 @@
         zone: str,
         ask: Callable[[frozenset[str]], None],
         fed: Callable[[], bool],
-        changed: Callable[[], None],
+        heard: Callable[[list[str]], None],
+        sources_changed: Callable[[], None],
     ) -> None:
         self.served: dict[str, Node] = {}  # the newest entry with servers, by station
         self._homes = Homes(name, zone)
-        self._ask, self._fed, self._changed = ask, fed, changed
+        self._ask, self._fed = ask, fed
+        self._heard, self._sources_changed = heard, sources_changed
         self._loop = asyncio.get_running_loop()
         self._asked: dict[str, frozenset[str]] = {}  # by source: what it was asked for
         self._links: dict[str, Link] = {}
@@ -42,18 +47,20 @@
 
     # ------------------------------------------------------------ what we hear
 
-    def take(self, served: list[Node]) -> bool:
-        """Entries with servers, from whoever; True if any was new.  What is new is handed on."""
+    def take(self, served: list[Node]) -> None:
+        """Entries with servers, from whoever.  What is new is handed on."""
         new = []
         for node in served:
             old = self.served.get(node.name)
             if old is None or rank(node) > rank(old):
                 self.served[node.name] = node
                 new.append(node)
+        if not new:
+            return
         for link, services in list(self._subscribers.items()):
             if told := homes.of_services(new, services):
                 link.send(Frame(news=wire.News(served=told)))
-        return bool(new)
+        self._heard([node.name for node in new])
 
     def forget(self, names: set[str]) -> None:
         """Bounded memory: who is no member goes, once there are many."""
@@ -109,21 +116,21 @@
         else:
             self._links[address] = link
             self._asked.pop(address, None)
-        self._changed()
+        self._sources_changed()
 
     def on_up(self, link: Link) -> None:
         """Asked on it as soon as it is known."""
 
     def on_frame(self, link: Link, frame: Frame) -> None:
-        if frame.WhichOneof("body") == "news" and self.take(list(frame.news.served)):
-            self._changed()
+        if frame.WhichOneof("body") == "news":
+            self.take(list(frame.news.served))
 
     def on_down(self, link: Link) -> None:
         if self._links.get(link.peer) is link:
             del self._links[link.peer]
             self._asked.pop(link.peer, None)
             self._homes.failed(link.peer, self._loop.time())
-            self._loop.call_soon(self._changed)
+            self._sources_changed()
 
     # ------------------------------------------------------------ who asks us
 
@@ -136,7 +143,7 @@
         self._count()
         if told := homes.of_services(self.served.values(), services):
             link.send(Frame(news=wire.News(served=told)))
-        self._changed()
+        self._sources_changed()
 
     def serves(self, link: Link) -> bool:
         """Whether another station rests on what we tell it here."""
--- a/leadrudder/station/points.py
+++ b/leadrudder/station/points.py
@@ -71,6 +71,25 @@
 Carry = Callable[[Errand, Route, str, bool, bool, Callable[[Delivery], None]], Callable[[bool], None]]
 
 
+@dataclass(frozen=True, slots=True)
+class Candidates:
+    """The servers that may be drawn.  near: whether each is in our zone; entries: the same for the module.
+
+    Worked out once, and shared by all balancers that draw among the same servers.
+    """
+
+    near: Mapping[str, bool]
+    entries: tuple[api.ServerEntry, ...]
+
+    @classmethod
+    def of(cls, near: Mapping[str, bool]) -> Candidates:
+        entries = tuple(
+            api.ServerEntry(name.encode(), capacity_hint=NEAR_WEIGHT if is_near else 1.0)
+            for name, is_near in sorted(near.items())
+        )
+        return cls(near, entries)
+
+
 class Points:
     """carry: sends one attempt to the gate beside a server; returns what withdraws it."""
 
@@ -110,23 +129,32 @@
         )
         self._errands: dict[int, Errand] = {}
         self._last = 0
-        self._listed: dict[str, bool] = {}
+        self._listed: Mapping[str, bool] = {}
+        self._offered: Candidates | None = None  # a list that was not taken in yet
         self._toll_ms = TOLL_PART * route.target_ms
         self._began: dict[tuple[int, int], tuple[ServerId, float]] = {}  # attempts that are out
 
     def follow(self, servers: Mapping[str, bool]) -> None:
         """The servers that may be drawn, and whether each is in our zone."""
-        if servers == self._listed:
+        self.offer(Candidates.of(servers))
+        self._take_offered()
+
+    def offer(self, candidates: Candidates) -> None:
+        """The servers that may be drawn: taken in now if requests are open, else with the next request."""
+        self._offered = candidates
+        if self._errands:
+            self._take_offered()
+
+    def _take_offered(self) -> None:
+        candidates, self._offered = self._offered, None
+        if candidates is None or candidates.near is self._listed or candidates.near == self._listed:
             return
-        self._listed = dict(servers)
-        entries = tuple(
-            api.ServerEntry(name.encode(), capacity_hint=NEAR_WEIGHT if near else 1.0)
-            for name, near in sorted(servers.items())
-        )
-        self._post(api.ServerList(api.ListKind.FULL, entries))
+        self._listed = candidates.near
+        self._post(api.ServerList(api.ListKind.FULL, candidates.entries))
 
     def begin(self, errand: Errand) -> Callable[[], None]:
         """A request: from here on it is owed one answer.  Returns what says that its client has left."""
+        self._take_offered()
         self._last += 1
         self._purse.earn()
         number = self._last
--- a/leadrudder/station/program.py
+++ b/leadrudder/station/program.py
@@ -15,27 +15,24 @@
 from returns.result import Success
 
 from leadrudder.node.platform import SYSTEM, Platform
+from leadrudder.observability.invariants import Invariants
 from leadrudder.observability.loop_lag import LoopLag
 from leadrudder.observability.metrics import Metrics
 from leadrudder.possession.ledger import Ledger, epoch_of
 from leadrudder.register import homes
-from leadrudder.register.register import Register
 from leadrudder.rulebook.ring import Ring
 from leadrudder.rulebook.settings import Settings, load
 from leadrudder.station.beats import Beat, Beats
 from leadrudder.station.gate import Gate, Life
 from leadrudder.station.gates import Gates
 from leadrudder.station.inbound import Inbound, Withdraw, nothing_to_withdraw
-from leadrudder.station.lent import Lent
-from leadrudder.station.newsstand import Newsstand
+from leadrudder.station.mesh_state import MeshState
 from leadrudder.station.outbound import Outbound
-from leadrudder.station.points import Errand, Points
-from leadrudder.station.purse import Purse
+from leadrudder.station.points import Errand
 from leadrudder.station.server import OwnServer
 from leadrudder.station.session import Session
 from leadrudder.telegraph.http import ControlServer
 from leadrudder.telegraph.link import IDLE_TAKEN_S, PING_S, Link
-from leadrudder.timetable.book import Book, Timetable
 from leadrudder.timetable.items import Route
 from leadrudder.waybill import waybill_pb2 as wire
 from leadrudder.waybill.verdict import Ran, Reply, Verdict
@@ -46,7 +43,6 @@
 NOTE_EACH_S = 1.0
 BODIES_PART = 0.2  # of the memory: each body is held about twice more on its way
 OPEN_MOST = 2000  # requests that may be under way
-POINTS_MOST = 2000  # vectors that are kept
 LEAST_LEAVING_S = 2.4  # after SIGTERM: until then clients still come
 QUIET_S = 0.3
 GRACE_PART_S = 0.6  # of the grace, kept for the end itself
@@ -70,22 +66,28 @@
         self.settings = settings
         self._possession, self._wall = possession, wall
         self.ring = Ring(settings.name)
+        self.invariants = Invariants(self.ring.wrong)
         self._loop = asyncio.get_running_loop()
         self._rng = rng or Random()
         self._address = f"{settings.ip}:{settings.station_port}"
         self._life = int(wall() * 1e6)
         self._number = 0
-        self._book = Book()
-        self._timetable = Timetable(self._book)
-        self._members = Register("")
-        self._servers: dict[str, tuple[str, str]] = {}  # by id: the service, and the address of its station
-        self._serving: list[wire.Node] = []  # stations with a server, as far as we heard
-        self._points: dict[tuple[str, str], Points] = {}
-        self._purses: dict[str, Purse] = {}
         self._lag = LoopLag(platform.monotonic)
-        self._passes = 0  # over all that is known, since the start
-        self._pass_seconds = 0.0
-        self._monotonic = platform.monotonic
+        self.gate = Gate(settings.bounds)
+        self.state = MeshState(
+            settings,
+            self.gate,
+            self.invariants,
+            carry=self._carry,
+            carried_out=lambda: self._inbound.advance(),
+            ask=lambda services: self._session.subscribe(services),
+            fed=lambda: self._session.stands() and self._terminated_at is None,
+            note=self.ring.note,
+            rng=self._rng,
+            wall=wall,
+            monotonic=platform.monotonic,
+            loans=possession,
+        )
         self._withdrawals: dict[Link, dict[int, Withdraw]] = {}
         self._terminated_at: float | None = None
         self._done = asyncio.Event()
@@ -93,7 +95,6 @@
             Counter()
         )  # waybills that came back without an answer, and why, since the last note
         self._noted_at = 0.0
-        self.gate = Gate(settings.bounds)
         self._own = OwnServer(settings.app or (settings.ip, 0), most_open=100, platform=platform)
         self._ledger = Ledger()
         self._inbound = Inbound(
@@ -103,31 +104,23 @@
             self._lent_here,
             (lambda epoch: self._ledger.ran(settings.service, epoch)) if possession else None,
         )
-        self._lent = Lent(wall, self._loop.time, self._loop.call_later, self._follow)
         self._used = 0  # slots of our server, at the busiest since we last told
         self._gates = Gates()
         self._outbound = Outbound(
             settings.service,
-            self._timetable_find,
+            self.state.routing.find,
             self._begin,
-            lambda: self._timetable.limits,
+            lambda: self.state.routing.limits,
             lambda: self._outbound.open < OPEN_MOST,
             BODIES_PART * settings.ram_mb * 1e6,
         )
         beats = Beats(self._beat, self._left, self.ready, self._metrics().text)
         self._control = ControlServer(beats.dispatch, lambda e: self.ring.wrong(f"fault: {e!r}"))
-        self._newsstand = Newsstand(
-            settings.name,
-            settings.zone,
-            lambda services: self._session.subscribe(services),
-            lambda: self._session.stands() and self._terminated_at is None,
-            self._follow,
-        )
         self._session = Session(
             settings.seed_links,
             self._hello,
             self._news,
-            self._newsstand.session_ended,
+            self.state.newsstand.session_ended,
             self._rng,
             self.ring.note,
         )
@@ -156,28 +149,21 @@
 
     def _metrics(self) -> Metrics:
         metrics = Metrics()
-        metrics.add("items", lambda: len(self._book.items))
-        metrics.add("routes", lambda: len(self._timetable.routes))
-        metrics.add("balancers", lambda: len(self._points))
-        metrics.add("members", lambda: len(self._members.members()))
-        metrics.add("change_passes_total", lambda: self._passes)
-        metrics.add("change_pass_seconds_total", lambda: self._pass_seconds)
+        self.state.add_figures(metrics)
         metrics.add("requests_open", lambda: self._outbound.open)
         metrics.add("calls_running", lambda: self.gate.running)
         metrics.add("loop_lag_seconds", self._lag.seconds)
         metrics.add("loop_lag_highest_seconds", lambda: self._lag.highest_s)
         metrics.add("process_cpu_seconds_total", time.process_time)
+        metrics.add_labelled("invariant_violations_total", "name", lambda: self.invariants.violations)
         return metrics
 
     def ready(self) -> bool:
         """Whether clients may come: a configuration is in force here, and we are not about to end."""
-        return self._terminated_at is None and bool(self._timetable.routes) and self._session.informed
+        return self._terminated_at is None and bool(self.state.routing.routes) and self._session.informed
 
     # ------------------------------------------------------------ requests of our clients
 
-    def _timetable_find(self, host: str, path: str) -> Route | None:
-        return self._timetable.find(host, path)
-
     def _begin(self, route: Route, errand: Errand) -> Callable[[], None]:
         service = route.split[0][0]
         if len(route.split) > 1:
@@ -185,10 +171,7 @@
             service = self._rng.choices(names, shares)[0]
         if self._possession:
             self._count(route, service, errand)
-        points = self._points.get((route.name, service))
-        if points is None:
-            points = self._lay(route, service)
-        return points.begin(errand)
+        return self.state.upstreams.balancer(route, service).begin(errand)
 
     def _count(self, route: Route, service: str, errand: Errand) -> None:
         """What becomes of it goes into the ledger."""
@@ -205,20 +188,6 @@
 
         errand.answered = counted
 
-    def _lay(self, route: Route, service: str) -> Points:
-        """The points of a route and service, from its first request on."""
-        nodes = max(1, len(self._members.members()))
-        purse = self._purses.get(service)
-        if purse is None:
-            bounds = self.settings.bounds
-            purse = self._purses[service] = Purse(bounds.retry_ratio, bounds.retry_extra, nodes)
-        points = Points(route, service, nodes, purse, self._carry, self.ring.note, self._rng.getrandbits(48))
-        while len(self._points) >= POINTS_MOST:
-            del self._points[next(iter(self._points))]
-        self._points[route.name, service] = points
-        points.follow(self._listed(service, route))
-        return points
-
     def _carry(
         self,
         errand: Errand,
@@ -250,13 +219,13 @@
                 self._refused[delivery.why] += 1
             deliver(delivery)
 
-        place = self._servers.get(server)
-        if place is None:
+        endpoint = self.state.endpoints.server(server)
+        if endpoint is None:
             counted(Delivery(ran=0, why="gone"))
             return nothing_to_withdraw
-        if place[1] == self._address:
+        if endpoint.address == self._address:
             return self._inbound.take(waybill, counted)
-        return self._gates.send(place[1], waybill, counted)
+        return self._gates.send(endpoint.address, waybill, counted)
 
     # ------------------------------------------------------------ links from other stations
 
@@ -265,7 +234,7 @@
         link.every_s = IDLE_TAKEN_S
 
     def on_down(self, link: Link) -> None:
-        self._newsstand.unsubscribe(link)
+        self.state.newsstand.unsubscribe(link)
         for withdraw in self._withdrawals.pop(link, {}).values():
             withdraw(False)
 
@@ -279,7 +248,7 @@
 
             def deliver(delivery: Delivery) -> None:
                 waiting.pop(number, None)
-                if not waiting and not self._newsstand.serves(link):
+                if not waiting and not self.state.newsstand.serves(link):
                     link.every_s = IDLE_TAKEN_S
                 delivery.number = number
                 link.send(Frame(delivery=delivery))
@@ -291,7 +260,7 @@
                 waiting[number] = withdraw
         elif kind == "subscribe":
             link.every_s = PING_S
-            self._newsstand.subscribe(link, frozenset(frame.subscribe.services))
+            self.state.newsstand.subscribe(link, frozenset(frame.subscribe.services))
         elif kind == "withdrawal":
             withdraw = waiting.pop(frame.withdrawal.number, nothing_to_withdraw)
             withdraw(frame.withdrawal.client_left)
@@ -299,84 +268,21 @@
     # ------------------------------------------------------------ what we are told
 
     def _news(self, news: wire.News) -> None:
-        """What a signalbox tells: items, members, or all of both."""
-        began = self._monotonic()
-        if self._book.take(news.items):
-            self._timetable = Timetable(self._book)
-            if self._possession:
-                self._lent.take(self._book)
-            for (name, _), points in list(self._points.items()):
-                route = self._timetable.routes.get(name)
-                if route is not None:
-                    points.route = route
-        self._outbound.informed = self._session.informed and bool(self._timetable.routes)
-        self._members.take(news.nodes)
-        self._newsstand.take(list(news.served))
-        if news.signalboxes:
-            self._newsstand.session_began()
-        if news.whole:
-            named = {node.name for node in news.nodes}
-            for name in [n for n in self._members.nodes if n not in named and n != self.settings.name]:
-                del self._members.nodes[name]
-        self._newsstand.forget({node.name for node in self._members.members()})
-        self._follow()
-        self._passes += 1
-        self._pass_seconds += self._monotonic() - began
-
-    def _follow(self) -> None:
-        """After any news of members, zones or routes."""
-        members = self._members.members()
-        self._newsstand.follow(self._wanted(), members)
-        there = {node.name: node for node in members}
-        self._serving = [
-            node
-            for node in self._newsstand.served.values()
-            if node.name in there and there[node.name].life <= node.life
-        ]
-        self._servers = {
-            server.id: (server.service, node.address) for node in self._serving for server in node.servers
-        }
-        now = self._loop.time()
-        self.gate.evacuate(self.settings.zone in self._book.evacuated(), now)
-        life = self.gate.life
-        if life is not None and (service := self._timetable.services.get(life.service)) is not None:
-            self.gate.cold_per_s = service.cold_per_s
-        nodes = max(1, len(self._members.members()))
-        for purse in self._purses.values():
-            purse.nodes = nodes
-        for (_, name), points in list(self._points.items()):
-            points.follow(self._listed(name, points.route))
-        self._inbound.advance()
-
-    def _wanted(self) -> frozenset[str]:
-        """The services that any route goes to."""
-        return frozenset(name for route in self._timetable.routes.values() for name, _ in route.split)
-
-    def _listed(self, service: str, route: Route) -> dict[str, bool]:
-        """The servers that a route's requests for a service may go to, and whether each is in our zone."""
-        evacuated = self._book.evacuated()
-        ready: dict[str, bool] = {}
-        draining: dict[str, bool] = {}
-        lent: dict[str, bool] = {}
-        for node in self._serving:
-            for server in node.servers:
-                if server.service == service and server.zone not in evacuated:
-                    there = draining if server.draining else ready
-                    if self._lent.some() and self._lent.lent(node.name, route):
-                        there = lent
-                    there[server.id] = server.zone == self.settings.zone
-        return ready or draining or lent
+        """What a signalbox tells."""
+        self.state.take(news)
+        self._outbound.informed = self._session.informed and bool(self.state.routing.routes)
 
     def _lent_here(self, waybill: Waybill) -> bool:
         """Whether our server is out of the traffic that a waybill is of, and others are not."""
-        if not self._lent.some() or self.gate.life is None:
+        state, life = self.state, self.gate.life
+        if not state.lent.some() or life is None:
             return False
         host = next((f[5:] for f in waybill.fields.split(b"\r\n") if f[:5].lower() == b"host:"), b"").strip()
         path = waybill.target.partition(b"?")[0]
-        route = self._timetable.find(host.decode("latin-1"), path.decode("latin-1"))
-        if route is None or not self._lent.lent(self.settings.name, route):
+        route = state.routing.find(host.decode("latin-1"), path.decode("latin-1"))
+        if route is None or not state.lent.lent(self.settings.name, route):
             return False
-        return self.gate.life.id not in self._listed(self.gate.life.service, route)
+        return life.id not in state.allowed(life.service, route)
 
     # ------------------------------------------------------------ our server
 
@@ -420,14 +326,13 @@
     def _hello(self) -> wire.Node:
         self._number += 1
         node = self._node()
-        self._members.take([homes.bare(node)])
-        self._newsstand.take([node])
+        self.state.take_own(homes.bare(node), node)
         return node
 
     def _report(self) -> None:
         """Our server has changed: others must hear of it, and so must our own points."""
         self._session.say(self._hello())
-        self._follow()
+        self.state.changes.flush()
 
     # ------------------------------------------------------------ time
 
@@ -439,7 +344,7 @@
             self._own.is_gone()
             self._report()
         self._gates.sweep()
-        self._newsstand.follow(self._wanted(), self._members.members())
+        self.state.look_for_sources()
         if self._possession:
             self._tell_use()
         if self._refused and now - self._noted_at >= NOTE_EACH_S:
@@ -487,7 +392,7 @@
             self._outbound.close()
             self._control.close()
             self._session.close()
-            self._newsstand.close()
+            self.state.newsstand.close()
             self._gates.close()
             self._own.close()
             self._done.set()
--- a/leadrudder/timetable/book.py
+++ b/leadrudder/timetable/book.py
@@ -1,5 +1,7 @@
-"""What a process knows of the control state: items that only ever go up, and the routes that follow from
-them.
+"""What a process knows of the control state: items whose versions only ever rise.
+
+Every question is answered from an index that merging keeps up to date, so that a change costs what it
+changes, however much else is known.
 """
 
 from __future__ import annotations
@@ -7,14 +9,13 @@
 import hashlib
 import json
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
-from marshmallow import ValidationError
+from sortedcontainers import SortedDict
 
-from leadrudder.timetable import items
-from leadrudder.timetable.items import EVACUATION, LIMITS, ROUTE, SERVICE, Limits, Route, Service
+from leadrudder.timetable.items import EVACUATION, LIMITS, ROUTE, SERVICE
 from leadrudder.waybill.waybill_pb2 import Item
 
 
@@ -48,6 +49,12 @@
     return (zlib.crc32(key.encode()) >> 8) % RANGES
 
 
+def kind_of(key: str) -> str:
+    """The prefix that tells what kind of item a key is of, such as `routes/`; the key itself without one."""
+    kind, slash, _ = key.partition("/")
+    return kind + slash
+
+
 @dataclass(slots=True)
 class Book:
     """Items by key; take() merges, so late and doubled news change nothing."""
@@ -55,6 +62,8 @@
     items: dict[str, Item] = field(default_factory=dict)
     digest: int = 0
     ranges: list[int] = field(default_factory=lambda: [0] * RANGES)  # the same by range of keys
+    _keys_by_range: dict[int, dict[str, None]] = field(default_factory=dict)
+    _standing_by_kind: dict[str, SortedDict[str, Item]] = field(default_factory=dict)
 
     def take(self, news: Iterable[Item]) -> list[Item]:
         """Merge; returns what was new."""
@@ -62,20 +71,39 @@
         for item in news:
             old = self.items.get(item.key)
             if newer(item, old):
-                change = digest([item]) ^ (digest([old]) if old is not None else 0)
-                self.digest ^= change
-                self.ranges[range_of(item.key)] ^= change
-                self.items[item.key] = item
+                self._replace(item, old)
                 taken.append(item)
         return taken
 
-    def standing(self, prefix: str) -> dict[str, Item]:
-        """Items of one kind that were not dropped, by name."""
-        return {
-            key[len(prefix) :]: item
-            for key, item in sorted(self.items.items())
-            if key.startswith(prefix) and not item.dropped
-        }
+    def _replace(self, item: Item, old: Item | None) -> None:
+        change = digest([item]) ^ (digest([old]) if old is not None else 0)
+        at = range_of(item.key)
+        self.digest ^= change
+        self.ranges[at] ^= change
+        self.items[item.key] = item
+        self._keys_by_range.setdefault(at, {})[item.key] = None
+        kind = kind_of(item.key)
+        standing = self._standing_by_kind.get(kind)
+        if standing is None:
+            standing = self._standing_by_kind[kind] = SortedDict()
+        if item.dropped:
+            standing.pop(item.key[len(kind) :], None)
+        else:
+            standing[item.key[len(kind) :]] = item
+
+    def standing(self, kind: str) -> Mapping[str, Item]:
+        """Items of one kind that were not dropped, by name and in the order of names; a live view."""
+        standing: Mapping[str, Item] = self._standing_by_kind.get(kind, _NONE_STANDING)
+        return standing
+
+    def of_ranges(self, ranges: Iterable[int]) -> list[Item]:
+        """All items, dropped ones included, whose keys fall into these ranges."""
+        return [self.items[key] for at in ranges for key in self._keys_by_range.get(at, ())]
+
+    def differing(self, digests: Iterable[int]) -> list[Item]:
+        """Items of the ranges whose digests differ from these, which another process has told."""
+        differ = [at for at, theirs in enumerate(digests) if at < RANGES and theirs != self.ranges[at]]
+        return self.of_ranges(differ)
 
     def laid_out(self) -> dict[str, Any]:
         """All items that stand, as the first call lays them out."""
@@ -93,50 +121,4 @@
         return frozenset(name for name, item in self.standing(EVACUATION).items() if item.value == b"1")
 
 
-class Timetable:
-    """The routes in force, found by host and longest prefix."""
-
-    def __init__(self, book: Book) -> None:
-        self.routes: dict[str, Route] = {}
-        self.services: dict[str, Service] = {}
-        self.limits = Limits()
-        for name, item in book.standing(ROUTE).items():
-            try:
-                self.routes[name] = items.read_route(name, json.loads(item.value))
-            except (ValueError, ValidationError):
-                continue  # kept by a newer version of the program: not ours to carry out
-        for name, item in book.standing(SERVICE).items():
-            try:
-                self.services[name] = items.read_service(name, json.loads(item.value))
-            except (ValueError, ValidationError):
-                continue
-        limits = book.items.get(LIMITS)
-        if limits is not None and not limits.dropped:
-            try:
-                self.limits = items.read_limits(json.loads(limits.value))
-            except (ValueError, ValidationError):
-                self.limits = Limits()
-        self._hosts: dict[str, dict[str, Route]] = {}
-        for route in self.routes.values():
-            self._hosts.setdefault(route.host, {}).setdefault(route.path_start, route)
-        self._odd = {r.path_start for r in self.routes.values() if not r.path_start.endswith("/")}
-
-    def find(self, host: str, path: str) -> Route | None:
-        """The route whose prefix begins the path and is longest; None if there is none.
-
-        host: as the request has it; a port is left out.  path: without the query.
-        """
-        name, _, port = host.rpartition(":")
-        places = self._hosts.get((name if name and port.isdecimal() else host).lower())
-        if not places:
-            return None
-        if places.keys() & self._odd:  # a prefix that ends within a segment: rare, so looked through
-            fitting = [start for start in places if path.startswith(start)]
-            return places[max(fitting, key=len)] if fitting else None
-        end = path.rfind("/")
-        while end >= 0:
-            route = places.get(path[: end + 1])
-            if route is not None:
-                return route
-            end = path.rfind("/", 0, end)
-        return None
+_NONE_STANDING: Mapping[str, Item] = {}
--- /dev/null
+++ b/leadrudder/timetable/routing_table.py
@@ -0,0 +1,181 @@
+"""The routes in force, found by host and longest prefix.
+
+The table is kept by change: applying an item reads that item and no other. The number of items that were read
+is counted, so that a test can hold it against the number of items that changed.
+"""
+
+from __future__ import annotations
+
+import json
+from bisect import insort
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from marshmallow import ValidationError
+
+from leadrudder.timetable import items
+from leadrudder.timetable.book import Book, kind_of
+from leadrudder.timetable.items import LIMITS, ROUTE, SERVICE, Limits, Route, Service
+from leadrudder.waybill.waybill_pb2 import Item
+
+
+@dataclass(slots=True)
+class Changed:
+    """What applying items has changed, by name."""
+
+    routes: set[str] = field(default_factory=set)
+    services: set[str] = field(default_factory=set)
+    called_services: bool = False  # the set of services that any route calls is another
+
+
+@dataclass(slots=True)
+class _Host:
+    """The routes of one host.
+
+    by_prefix: names of the routes at each prefix, in order; the first one gets the requests.
+    open_prefixes: how many prefixes end within a path segment.
+    """
+
+    by_prefix: dict[str, list[str]] = field(default_factory=dict)
+    open_prefixes: int = 0
+
+    def add(self, route: Route) -> None:
+        names = self.by_prefix.get(route.path_start)
+        if names is None:
+            names = self.by_prefix[route.path_start] = []
+            self.open_prefixes += not route.path_start.endswith("/")
+        insort(names, route.name)
+
+    def remove(self, route: Route) -> None:
+        names = self.by_prefix[route.path_start]
+        names.remove(route.name)
+        if not names:
+            del self.by_prefix[route.path_start]
+            self.open_prefixes -= not route.path_start.endswith("/")
+
+    def longest(self, path: str) -> str | None:
+        """The longest prefix that begins a path."""
+        if self.open_prefixes:
+            fitting = [prefix for prefix in self.by_prefix if path.startswith(prefix)]
+            return max(fitting, key=len) if fitting else None
+        end = path.rfind("/")
+        while end >= 0:
+            if path[: end + 1] in self.by_prefix:
+                return path[: end + 1]
+            end = path.rfind("/", 0, end)
+        return None
+
+
+class RoutingTable:
+    """Routes, services and limits in force.  items_read: how many items were read since the start."""
+
+    def __init__(self, book: Book | None = None) -> None:
+        self.routes: dict[str, Route] = {}
+        self.services: dict[str, Service] = {}
+        self.limits = Limits()
+        self.items_read = 0
+        self._hosts: dict[str, _Host] = {}
+        self._routes_calling: Counter[str] = Counter()  # how many routes call each service
+        if book is not None:
+            self.apply(book.standing(ROUTE).values())
+            self.apply(book.standing(SERVICE).values())
+            self.apply(book.standing(LIMITS).values())
+
+    def apply(self, changed_items: Iterable[Item]) -> Changed:
+        """Take in items that are newer than what they replace; those of other kinds are passed over."""
+        changed = Changed()
+        for item in changed_items:
+            kind = kind_of(item.key)
+            if kind == ROUTE:
+                self._set_route(item, changed)
+            elif kind == SERVICE:
+                self._set_service(item, changed)
+            elif kind == LIMITS:
+                self.limits = self._read_limits(item)
+        return changed
+
+    def called_services(self) -> frozenset[str]:
+        """The services that any route calls."""
+        return frozenset(self._routes_calling)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """The route whose prefix begins the path and is longest; None if there is none.
+
+        host: as the request has it; a port is left out.  path: without the query.
+        """
+        name, _, port = host.rpartition(":")
+        routes = self._hosts.get((name if name and port.isdecimal() else host).lower())
+        if routes is None:
+            return None
+        prefix = routes.longest(path)
+        return None if prefix is None else self.routes[routes.by_prefix[prefix][0]]
+
+    def _set_route(self, item: Item, changed: Changed) -> None:
+        name = item.key[len(ROUTE) :]
+        changed.routes.add(name)
+        old = self.routes.pop(name, None)
+        new = self._read_route(name, item)
+        if new is not None:
+            self.routes[name] = new
+            self._add_calls(new, changed)
+            self._hosts.setdefault(new.host, _Host()).add(new)
+        if old is not None:
+            self._remove_calls(old, changed)
+            self._remove_place(old)
+
+    def _remove_place(self, route: Route) -> None:
+        host = self._hosts[route.host]
+        host.remove(route)
+        if not host.by_prefix:
+            del self._hosts[route.host]
+
+    def _add_calls(self, route: Route, changed: Changed) -> None:
+        for service, _ in route.split:
+            changed.called_services |= service not in self._routes_calling
+            self._routes_calling[service] += 1
+
+    def _remove_calls(self, route: Route, changed: Changed) -> None:
+        for service, _ in route.split:
+            self._routes_calling[service] -= 1
+            if not self._routes_calling[service]:
+                del self._routes_calling[service]
+                changed.called_services = True
+
+    def _set_service(self, item: Item, changed: Changed) -> None:
+        name = item.key[len(SERVICE) :]
+        changed.services.add(name)
+        new = self._read_service(name, item)
+        if new is None:
+            self.services.pop(name, None)
+        else:
+            self.services[name] = new
+
+    # An item that cannot be read was taken by a newer release: it is not ours to carry out.
+
+    def _read_route(self, name: str, item: Item) -> Route | None:
+        if item.dropped:
+            return None
+        self.items_read += 1
+        try:
+            return items.read_route(name, json.loads(item.value))
+        except (ValueError, ValidationError):
+            return None
+
+    def _read_service(self, name: str, item: Item) -> Service | None:
+        if item.dropped:
+            return None
+        self.items_read += 1
+        try:
+            return items.read_service(name, json.loads(item.value))
+        except (ValueError, ValidationError):
+            return None
+
+    def _read_limits(self, item: Item) -> Limits:
+        if item.dropped:
+            return Limits()
+        self.items_read += 1
+        try:
+            return items.read_limits(json.loads(item.value))
+        except (ValueError, ValidationError):
+            return Limits()
--- a/tests/mesh/test_check.py
+++ b/tests/mesh/test_check.py
@@ -13,7 +13,8 @@
 
 from leadrudder.mesh.__main__ import main
 from leadrudder.timetable import check
-from leadrudder.timetable.book import Book, Timetable
+from leadrudder.timetable.book import Book
+from leadrudder.timetable.routing_table import RoutingTable
 from leadrudder.waybill.waybill_pb2 import Item
 
 
@@ -101,12 +102,12 @@
 
 
 class Find(unittest.TestCase):
-    def _timetable(self) -> Timetable:
+    def _timetable(self) -> RoutingTable:
         book = Book()
         for name, start in (("short", "/a/"), ("long", "/a/b/"), ("all", "/")):
             raw = call(pathStart=start)["addOrReplace"]["routes"]["r"]
             book.take([Item(key=f"routes/{name}", version=1, value=json.dumps(raw).encode())])
-        return Timetable(book)
+        return RoutingTable(book)
 
     def test_the_longest_prefix_is_taken(self) -> None:
         timetable = self._timetable()
--- a/tests/mesh/test_emulation.py
+++ b/tests/mesh/test_emulation.py
@@ -60,7 +60,7 @@
     def lent(self, fleet: Fleet) -> list[str]:
         """Stations that hold the first machine as lent."""
         holds = [m for m in fleet.side if m.station is not None]
-        return [m.name for m in holds if m.station and m.station._lent.lent("side-0", LOOKUPS)]
+        return [m.name for m in holds if m.station and m.station.state.lent.lent("side-0", LOOKUPS)]
 
     def landed(self, fleet: Fleet, doubt: int = 0) -> None:
         """Every booking landed once; doubt: but for so many, whose clients were told of no success."""
