--- a/leadrudder/station/outbound.py
+++ b/leadrudder/station/outbound.py
@@ -12,6 +12,7 @@
 from typing import cast
 
 from leadrudder.node.http import Message, MessageError
+from leadrudder.observability.loop_lag import BEHIND_S
 from leadrudder.station.inbound import passed_on
 from leadrudder.station.points import RETRY_LEAST_MS, Errand
 from leadrudder.telegraph.http import WholeMessage, WholeReader, rendered
@@ -176,7 +177,8 @@
 
 class Outbound:
     """All clients.  find: the route of a request; begin: carries it; most_held: bytes of bodies, read or
-    under way, beyond which requests with larger ones are told to come back.
+    under way, beyond which requests with larger ones are told to come back; late_s: how long what is read
+    now has waited to be read, beyond which requests are told to come back, too.
     """
 
     def __init__(
@@ -187,7 +189,10 @@
         limits: Callable[[], Limits],
         room: Callable[[], bool],
         most_held: float = math.inf,
+        late_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._late_s = late_s
+        self.shed = 0  # requests refused because this process was behind, since the start
         self._most_held = most_held
         self._held: dict[Client, int] = {}  # bytes of bodies that are being read
         self._held_sum = 0  # these, and those of requests under way
@@ -259,7 +264,12 @@
         told = headers.get(b"time-left")
         if told is not None and (not _NUMBER.fullmatch(told) or b"time-left" in message.repeated):
             return self._plain(write, 400)
+        late_s = self._late_s()
+        if late_s > BEHIND_S:
+            self.shed += 1
+            return self._plain(write, 503, COME_BACK)
         left_ms = min(route.give_up_ms, float(told) if told is not None else route.give_up_ms)
+        left_ms -= 1000.0 * late_s
         if self.now() > self.last_taken and self.now() + left_ms / 1000.0 > self.end_by:
             return self._plain(write, 503, COME_BACK)
         size = len(message.body)
--- a/leadrudder/station/program.py
+++ b/leadrudder/station/program.py
@@ -16,7 +16,7 @@
 
 from leadrudder.node.platform import SYSTEM, Platform
 from leadrudder.observability.invariants import Invariants
-from leadrudder.observability.loop_lag import LoopLag
+from leadrudder.observability.loop_lag import BEHIND_S, LoopLag
 from leadrudder.observability.metrics import Metrics
 from leadrudder.possession.ledger import Ledger, epoch_of
 from leadrudder.register import homes
@@ -46,6 +46,7 @@
 LEAST_LEAVING_S = 2.4  # after SIGTERM: until then clients still come
 QUIET_S = 0.3
 GRACE_PART_S = 0.6  # of the grace, kept for the end itself
+BEHIND = "behind"  # why a call was refused: this process has more to do than it gets done
 ANSWERS_OUT_S = 0.2  # before that end, by which the last answers are to be out
 FIRST_HALF_PART_S = 0.1  # before the half of the grace, from when on a request must end within it
 
@@ -95,6 +96,7 @@
             Counter()
         )  # waybills that came back without an answer, and why, since the last note
         self._noted_at = 0.0
+        self._calls_shed = 0  # calls to our server, refused because this process was behind
         self._own = OwnServer(settings.app or (settings.ip, 0), most_open=100, platform=platform)
         self._ledger = Ledger()
         self._inbound = Inbound(
@@ -113,6 +115,7 @@
             lambda: self.state.routing.limits,
             lambda: self._outbound.open < OPEN_MOST,
             BODIES_PART * settings.ram_mb * 1e6,
+            self._lag.seconds,
         )
         beats = Beats(self._beat, self._left, self.ready, self._metrics().text)
         self._control = ControlServer(beats.dispatch, lambda e: self.ring.wrong(f"fault: {e!r}"))
@@ -152,6 +155,8 @@
         self.state.add_figures(metrics)
         metrics.add("requests_open", lambda: self._outbound.open)
         metrics.add("calls_running", lambda: self.gate.running)
+        metrics.add("requests_shed_total", lambda: self._outbound.shed)
+        metrics.add("calls_shed_total", lambda: self._calls_shed)
         metrics.add("loop_lag_seconds", self._lag.seconds)
         metrics.add("loop_lag_highest_seconds", lambda: self._lag.highest_s)
         metrics.add("process_cpu_seconds_total", time.process_time)
@@ -253,6 +258,12 @@
                 delivery.number = number
                 link.send(Frame(delivery=delivery))
 
+            late_s = self._lag.seconds()
+            if late_s > BEHIND_S:
+                self._calls_shed += 1
+                deliver(Delivery(ran=Ran.NEVER, why=BEHIND, retry_ms=1000.0 * late_s))
+                return
+            frame.waybill.left_ms -= 1000.0 * late_s  # it has waited here for so long
             waiting[number] = nothing_to_withdraw
             link.every_s = PING_S  # its origin waits, and asks for signs of life
             withdraw = self._inbound.take(frame.waybill, deliver)
--- a/tests/mesh/test_outbound.py
+++ b/tests/mesh/test_outbound.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from leadrudder.interface import Outcome
+from leadrudder.observability.loop_lag import BEHIND_S
 from leadrudder.station.outbound import Client, Outbound
 from leadrudder.station.points import Errand
 from leadrudder.station.server import Going, OwnConnection
@@ -73,7 +74,8 @@
         self.errands: list[Errand] = []
         self.left: list[bytes] = []  # ids of requests whose client has left
         find = lambda host, path: ROUTE if path.startswith("/a/") else None  # noqa: E731
-        self.outbound = Outbound("mine", find, self.begin, Limits, lambda: True, 300_000)
+        self.late_s = 0.0
+        self.outbound = Outbound("mine", find, self.begin, Limits, lambda: True, 300_000, lambda: self.late_s)
         self.outbound.informed = True
         self.transport = Transport()
         self.client = Client(self.outbound)
@@ -107,6 +109,25 @@
         self.errands[0].answer(Reply(200, b"", b"first"))
         self.assertLess(self.transport.written.index(b"first"), self.transport.written.index(b"second"))
 
+    def test_a_process_that_is_behind_refuses_at_once_and_not_for_long(self) -> None:
+        self.late_s = BEHIND_S + 0.01
+        self.client.data_received(request(attempt="x1"))
+        self.assertEqual((self.statuses(), self.errands), ([b"503"], []))
+        self.assertIn(b"Retry-After: ", self.transport.written)
+        self.client.data_received(request("/none", attempt="x2"))
+        self.assertEqual(self.statuses(), [b"503", b"404"], "what no route has is no matter of load")
+        self.late_s = 0.0
+        self.client.data_received(request(attempt="x3"))
+        self.assertEqual([errand.attempt_id for errand in self.errands], [b"x3"])
+        self.assertEqual(self.outbound.shed, 1)
+
+    def test_time_that_a_request_has_waited_to_be_read_is_no_time_left(self) -> None:
+        self.client.data_received(request(fields="Time-Left: 500\r\n", attempt="x1"))
+        self.late_s = 0.2
+        self.client.data_received(request(fields="Time-Left: 500\r\n", attempt="x2"))
+        on_time, late = self.errands
+        self.assertAlmostEqual(on_time.deadline - late.deadline, 0.2)
+
     def test_calling_service_is_ours_whatever_came(self) -> None:
         fields = "Calling-Service: other\r\ncalling-service: third\r\nTarget-Server: i\r\n"
         fields += "X-More: 1\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
