--- a/leadrudder/interlocking/machine.py
+++ b/leadrudder/interlocking/machine.py
@@ -33,7 +33,7 @@
 from leadrudder.interlocking.requests import Requests
 from leadrudder.interlocking.seating import Seating
 from leadrudder.interlocking.seats import SEATS_RECORD, Peer, Seats
-from leadrudder.timetable.book import Book
+from leadrudder.timetable.book import Book, newer
 from leadrudder.timetable.items import CORE, read_core
 from leadrudder.waybill import waybill_pb2 as wire
 from leadrudder.waybill.waybill_pb2 import Frame, Item, Seat
@@ -73,6 +73,8 @@
         self.promised: dict[int, int] = {}
         self.book = Book()  # what this seat holds
         self.standing = Book()  # what a majority holds
+        self.unsettled: dict[str, None] = {}  # keys of which the book holds something newer than what stands
+        self.keys_by_section: dict[int, dict[str, None]] = {}  # of the book
         self.resigned = False
         self._began: float | None = None
         self.counts_since = 0.0  # when we started, or took our seat over if that was later
@@ -87,7 +89,7 @@
     def _restore(self, kept: dict[str, bytes]) -> None:
         for name, value in kept.items():
             if name.startswith(ITEM_RECORD):
-                self.book.take([Item.FromString(value)])
+                self._take_into_book([Item.FromString(value)])
             elif name.startswith(PROMISED_RECORD):
                 self.promised[int(name[len(PROMISED_RECORD) :])] = int(value)
         if SEATS_RECORD in kept:
@@ -219,10 +221,18 @@
 
     def keep(self, items: Iterable[Item]) -> dict[str, bytes]:
         """Take items into what this seat holds; returns the records to be written."""
-        taken = self.book.take(items)
+        taken = self._take_into_book(items)
         self.repair.changed(taken)
         return {ITEM_RECORD + item.key: item.SerializeToString() for item in taken}
 
+    def _take_into_book(self, items: Iterable[Item]) -> list[Item]:
+        taken = self.book.take(items)
+        for item in taken:
+            self.keys_by_section.setdefault(self.section_of(item.key), {})[item.key] = None
+            if newer(item, self.standing.items.get(item.key)):
+                self.unsettled[item.key] = None
+        return taken
+
     def told_core(self) -> dict[str, Any]:
         """Seats, their holders and what they own, as this process sees them: for operators."""
         owned: dict[str, list[int]] = {}
@@ -265,6 +275,10 @@
         taken = self.standing.take(items)
         if not taken:
             return
+        for item in taken:
+            held = self.book.items.get(item.key)
+            if held is None or not newer(held, item):
+                self.unsettled.pop(item.key, None)
         self.turn.out.append(Stands(tuple(taken)))
         if tell:
             for peer in self.connected():
--- a/leadrudder/interlocking/owner.py
+++ b/leadrudder/interlocking/owner.py
@@ -28,6 +28,9 @@
 COPY_AGAIN_S = 0.7  # a copy that was not answered is sent again
 
 
+_NO_COPIES: dict[int, Item] = {}
+
+
 @dataclass(slots=True)
 class Section:
     """A section that we own, or try to."""
@@ -62,6 +65,7 @@
         self.sections: dict[int, Section] = {}
         self.known: dict[int, tuple[int, str]] = {}  # the latest owner told of each section: epoch, holder
         self._copies: dict[int, Copying] = {}
+        self._copies_of_key: dict[str, dict[int, Item]] = {}  # the items of these, by key and number
         self._numbers = machine.rng.getrandbits(48)  # not those of an earlier process at our address
         self._again: dict[int, float] = {}  # when a section may be claimed again
         self._missing: dict[int, float] = {}  # since when a section has no owner that can be reached
@@ -77,7 +81,8 @@
         return len(self._seen) == self._machine.sections
 
     def of_section(self, section: int) -> list[Item]:
-        return [i for key, i in self._machine.book.items.items() if self._machine.section_of(key) == section]
+        machine = self._machine
+        return [machine.book.items[key] for key in machine.keys_by_section.get(section, ())]
 
     # ------------------------------------------------------------ who owns
 
@@ -166,20 +171,18 @@
         It was on its way when an earlier owner was lost; until it stands, reads wait for it.
         """
         machine, now = self._machine, self._machine.turn.now
-        if machine.book.digest == machine.standing.digest or now < self._settled + SETTLE_EACH_S:
+        if not machine.unsettled or now < self._settled + SETTLE_EACH_S:
             return
         self._settled = now
-        under_way = {item.key for copying in self._copies.values() for item in copying.items}
         found: dict[int, list[Item]] = {}
-        for key, item in machine.book.items.items():
+        for key in machine.unsettled:
             state = self.sections.get(machine.section_of(key))
-            if state is None or not state.ready or key in under_way:
+            if state is None or not state.ready or key in self._copies_of_key:
                 continue
-            if newer(item, machine.standing.items.get(key)):
-                again = Item()
-                again.CopyFrom(item)
-                again.epoch = state.epoch
-                found.setdefault(machine.section_of(key), []).append(again)
+            again = Item()
+            again.CopyFrom(machine.book.items[key])
+            again.epoch = state.epoch
+            found.setdefault(machine.section_of(key), []).append(again)
         for section, items in found.items():
             self._copy(section, items)
 
@@ -306,7 +309,7 @@
             self._told(peer, ask.number, Code.BUSY)
         for number, copying in list(self._copies.items()):
             if copying.section == section:
-                del self._copies[number]
+                self._forget_copy(number)
                 for peer, asked in copying.asked:
                     self._told(peer, asked, Code.BUSY)
         if state.ready:
@@ -449,10 +452,9 @@
     def _latest(self, key: str) -> Item | None:
         """The highest that this owner knows, what is on its way to the disks included."""
         latest = self._machine.book.items.get(key)
-        for copying in self._copies.values():
-            for item in copying.items:
-                if item.key == key and newer(item, latest):
-                    latest = item
+        for item in self._copies_of_key.get(key, _NO_COPIES).values():
+            if newer(item, latest):
+                latest = item
         return latest
 
     def _current(self, asked: Iterable[Item]) -> list[Item]:
@@ -468,8 +470,22 @@
         if asked is not None:
             copying.asked.append(asked)
         self._copies[self._numbers] = copying
+        for item in items:
+            self._copies_of_key.setdefault(item.key, {})[self._numbers] = item
         self._send_copies(self._numbers, copying, machine.voters())
 
+    def _forget_copy(self, number: int) -> Copying | None:
+        """Take a copy off the list; None if it has been taken off before."""
+        copying = self._copies.pop(number, None)
+        if copying is None:
+            return None
+        for item in copying.items:
+            of_key = self._copies_of_key.get(item.key, {})
+            of_key.pop(number, None)
+            if not of_key:
+                self._copies_of_key.pop(item.key, None)
+        return copying
+
     def _send_copies(self, number: int, copying: Copying, to: Iterable[str]) -> None:
         epoch = self.sections[copying.section].epoch
         copy = wire.Copy(number=number, section=copying.section, epoch=epoch, items=copying.items)
@@ -503,7 +519,7 @@
         late = machine.turn.now - copying.began >= TWO_OTHERS_S
         if others < min(2, reachable) and not late:
             return
-        if self._copies.pop(number, None) is not None:
+        if self._forget_copy(number) is not None:
             for peer, asked in copying.asked:
                 self._told(peer, asked, Code.DONE)
 
--- a/leadrudder/interlocking/repair.py
+++ b/leadrudder/interlocking/repair.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from leadrudder.timetable.book import Book, range_of
 from leadrudder.waybill import waybill_pb2 as wire
 from leadrudder.waybill.waybill_pb2 import Frame, Item
 
@@ -77,7 +76,7 @@
     def on_ranges(self, peer: str, ranges: wire.Ranges) -> None:
         """A peer's digests by range: it gets what we have in those that differ."""
         machine = self.machine
-        standing = self._differing(machine.standing, ranges.standing)
+        standing = machine.standing.differing(ranges.standing)
         if standing:
             machine.send(peer, Frame(standing=wire.Standing(items=standing)))
         if not machine.seats.full:
@@ -86,7 +85,7 @@
         self._credit = min(BYTES_S, self._credit + BYTES_S * (now - self._credited))
         self._credited = now
         items: list[Item] = []
-        missed = self._differing(machine.book, ranges.held)
+        missed = machine.book.differing(ranges.held)
         # Those after the last one handed over come first: a range larger than the bound is gone through, too.
         at = self._at.get(peer, "")
         for item in sorted(missed, key=lambda item: (item.key <= at, item.key)):
@@ -100,13 +99,6 @@
             self._at[peer] = items[-1].key
             machine.send(peer, Frame(repair=wire.Repair(items=items)))
 
-    def _differing(self, book: Book, told: Iterable[int]) -> list[Item]:
-        ours = book.ranges
-        differ = {i for i, theirs in enumerate(told) if i < len(ours) and theirs != ours[i]}
-        if not differ:
-            return []
-        return [item for key, item in book.items.items() if range_of(key) in differ]
-
     def owed(self) -> list[Owed]:
         """What each other holder of a seat misses."""
         machine, now = self.machine, self.machine.turn.now
--- a/leadrudder/register/homes.py
+++ b/leadrudder/register/homes.py
@@ -54,12 +54,20 @@
     zone: str
     bad: dict[str, float] = field(default_factory=dict)  # addresses that are passed over, until when
     serving: dict[str, int] = field(default_factory=dict)  # services that others ask us for, by how many
+    _members: list[Node] | None = None  # those that the orders below are of
+    _orders: dict[str, list[Node]] = field(default_factory=dict)  # by service
 
     def failed(self, address: str, now: float) -> None:
         self.bad[address] = now + BAD_S
 
     def sources(self, services: Iterable[str], members: list[Node], now: float) -> dict[str, set[str]]:
-        """What to ask whom: services by the address of a station, or by "" for our signalbox."""
+        """What to ask whom: services by the address of a station, or by "" for our signalbox.
+
+        members: the same list for as long as they are the same, as the orders that follow from it are kept.
+        """
+        if members is not self._members:
+            self._members = members
+            self._orders.clear()
         self.bad = {address: until for address, until in self.bad.items() if until > now}
         ask: dict[str, set[str]] = {}
         for service in {*services, *self.serving}:
@@ -69,7 +77,10 @@
     def _source(self, service: str, members: list[Node]) -> str:
         if service in self.serving:
             return ""  # others rest on us: what we tell them must not come round
-        for node in order(service, members, self.zone):
+        ordered = self._orders.get(service)
+        if ordered is None:
+            ordered = self._orders[service] = order(service, members, self.zone)
+        for node in ordered:
             if node.name == self.name:
                 return ""
             if node.address not in self.bad:
--- a/leadrudder/register/register.py
+++ b/leadrudder/register/register.py
@@ -34,6 +34,7 @@
     nodes: dict[str, Node] = field(default_factory=dict)
     digest: int = 0
     sessions: set[str] = field(default_factory=set)  # stations whose session with us stands
+    _strays: set[str] = field(default_factory=set)  # told of as ours, and without a session with us
     _leaving: dict[str, tuple[float, Node]] = field(default_factory=dict)  # when to tell it as gone
     _lost: dict[str, float] = field(default_factory=dict)  # signalboxes that are not connected, since when
 
@@ -46,6 +47,8 @@
                 self.digest ^= seal(node) ^ (seal(old) if old is not None else 0)
                 self.nodes[node.name] = node
                 taken.append(node)
+                if node.holder == self.address and not node.gone and node.name not in self.sessions:
+                    self._strays.add(node.name)
         return taken
 
     def hello(self, node: Node) -> list[Node]:
@@ -78,14 +81,21 @@
                 del self._leaving[name]
                 if self.nodes.get(name) is node:
                     gone.append(node)
-        for node in self.nodes.values():  # of an earlier process at our address
-            if node.holder == self.address and not node.gone and node.name not in self.sessions:
-                self._leaving.setdefault(node.name, (now + ORPHAN_S, node))
-        if sweeps:
+        self._leave_strays(now)
+        if sweeps and self._lost:
             orphaned = {a for a, since in self._lost.items() if now - since >= ORPHAN_S}
             gone += [n for n in self.nodes.values() if n.holder in orphaned and not n.gone]
         return self.take(_as_gone(node) for node in gone)
 
+    def _leave_strays(self, now: float) -> None:
+        """Sessions with an earlier process at our address: their stations have a moment to come back."""
+        for name in self._strays:
+            node = self.nodes.get(name)
+            ours = node is not None and node.holder == self.address and not node.gone
+            if node is not None and ours and name not in self.sessions:
+                self._leaving.setdefault(name, (now + ORPHAN_S, node))
+        self._strays.clear()
+
     def members(self) -> list[Node]:
         return [node for node in self.nodes.values() if not node.gone]
 
--- a/leadrudder/signalbox/program.py
+++ b/leadrudder/signalbox/program.py
@@ -17,12 +17,14 @@
 from leadrudder.interlocking.lease import DUTIES, POSSESSION, SWEEP
 from leadrudder.interlocking.machine import Interlocking
 from leadrudder.interlocking.outputs import Answer, Note, Output, Send, Stands, Write
+from leadrudder.observability.invariants import Invariants
 from leadrudder.observability.loop_lag import LoopLag
 from leadrudder.observability.metrics import Metrics
 from leadrudder.register import homes
 from leadrudder.register.register import Register
 from leadrudder.rulebook.ring import Ring
 from leadrudder.rulebook.settings import Settings
+from leadrudder.signalbox.feeds import Feeds
 from leadrudder.signalbox.operator import Operator
 from leadrudder.telegraph.http import ControlServer
 from leadrudder.telegraph.link import Link, dial
@@ -63,6 +65,7 @@
         self._possessions: Possessions | None = None
         self.address = f"{settings.ip}:{settings.signal_port}"
         self.ring = Ring(settings.name)
+        self.invariants = Invariants(self.ring.wrong)
         self._lag = LoopLag(time.monotonic if monotonic is None else monotonic)
         self._loop = asyncio.get_running_loop()
         self._store: Store = store or (
@@ -70,8 +73,9 @@
         )
         self._register = Register(self.address)
         self._links: dict[str, list[Link]] = {}  # to other signalboxes, the newest last
-        self._sessions: dict[Link, str] = {}  # of stations, by name
-        self._wanted: dict[Link, frozenset[str]] = {}  # services whose servers a station wants to hear of
+        self._feeds = Feeds(
+            lambda key: self._known().items.get(key), self._register.nodes.get, self.invariants
+        )
         self._others: dict[str, None] = dict.fromkeys(a for a in settings.seed_links if a != self.address)
         self._dialling: set[str] = set()
         self._waiting: dict[int, asyncio.Future[Answer]] = {}
@@ -129,16 +133,18 @@
 
     def _metrics(self) -> Metrics:
         metrics = Metrics()
-        metrics.add("sessions", lambda: len(self._sessions))
+        interlocking, feeds = self.interlocking, self._feeds
+        metrics.add("sessions", lambda: len(feeds))
         metrics.add("members", lambda: len(self._register.members()))
-        metrics.add("items", lambda: len(self.interlocking.book.items))
+        metrics.add("items", lambda: len(interlocking.book.items))
+        metrics.add("items_unsettled", lambda: len(interlocking.unsettled))
         metrics.add("operator_calls_open", lambda: len(self._waiting))
-        metrics.add(
-            "session_unsent_bytes", lambda: max((link.unsent() for link in self._sessions), default=0)
-        )
+        metrics.add("news_merged_total", lambda: feeds.merged)
+        metrics.add("session_unsent_bytes", feeds.most_unsent)
         metrics.add("loop_lag_seconds", self._lag.seconds)
         metrics.add("loop_lag_highest_seconds", lambda: self._lag.highest_s)
         metrics.add("process_cpu_seconds_total", time.process_time)
+        metrics.add_labelled("invariant_violations_total", "name", lambda: self.invariants.violations)
         return metrics
 
     async def _open(self) -> dict[str, bytes]:
@@ -167,7 +173,7 @@
             elif isinstance(output, Write):
                 self._write(output)
             elif isinstance(output, Stands):
-                self._tell_stations(wire.News(items=output.items))
+                self._feeds.tell_items(output.items)
             elif isinstance(output, Answer):
                 future = self._waiting.pop(output.number, None)
                 if future is not None and not future.done():
@@ -210,9 +216,7 @@
             self._hello(link, frame.hello)
             return
         if kind == "subscribe":
-            if link in self._sessions:
-                self._wanted[link] = frozenset(frame.subscribe.services)
-                self._serve(link, self._register.members())
+            self._feeds.subscribe(link, frozenset(frame.subscribe.services), self._register.members())
             return
         if kind == "members":
             self._tell(self._register.take(frame.members.nodes))
@@ -242,10 +246,9 @@
 
     def on_down(self, link: Link) -> None:
         now = self._loop.time()
-        self._wanted.pop(link, None)
-        name = self._sessions.pop(link, None)
-        if name is not None and name not in self._sessions.values():
-            self._register.ended(name, now)
+        station = self._feeds.remove(link)
+        if station is not None:
+            self._register.ended(station, now)
         links = self._links.get(link.peer, [])
         if link in links:
             links.remove(link)
@@ -285,14 +288,15 @@
         One of another zone is sent to a signalbox there, if there is one: bytes between zones are dear.
         """
         node = hello.node
-        new = link not in self._sessions
+        new = link not in self._feeds
         if not self._serves(new) or self._leaving():
             link.cut()
             return
         if new and hello.movable and (near := self._near(node.zone)):
             link.send(Frame(news=wire.News(near=near)))
             return
-        self._sessions[link] = node.name
+        if new:
+            self._feeds.add(link, node.name)
         self._tell(self._register.hello(node), but=None if new else link)
         if new:
             settled = self._loop.time() >= self._settled_at
@@ -302,7 +306,7 @@
                 whole=settled,
                 signalboxes=self._signalboxes(),
             )
-            link.send(Frame(news=news))
+            self._feeds.begin(link, news)
 
     def _near(self, zone: str) -> list[str]:
         """Other signalboxes of a zone that take sessions, as far as we know; none if it is ours."""
@@ -321,21 +325,8 @@
         members = Frame(members=wire.Members(nodes=nodes))
         for links in self._links.values():
             links[-1].send(members)
-        self._tell_stations(wire.News(nodes=map(homes.bare, nodes)), but)
-        for link in list(self._wanted):
-            self._serve(link, nodes)
-
-    def _serve(self, link: Link, nodes: list[Node]) -> None:
-        """Tell a station that asked for it which servers are beside these."""
-        served = homes.of_services(nodes, self._wanted[link])
-        if served:
-            link.send(Frame(news=wire.News(served=served)))
-
-    def _tell_stations(self, news: wire.News, but: Link | None = None) -> None:
-        frame = Frame(news=news)
-        for link in list(self._sessions):
-            if link is not but:
-                link.send(frame)
+        self._feeds.tell_members(nodes, but)
+        self._feeds.tell_servers(nodes)
 
     def _serves(self, new: bool) -> bool:
         """Whether a station may be told what we know; new: it has no session here yet."""
@@ -355,11 +346,12 @@
         self._leave_when_safe(now)
         self._tell(self._register.tick(now, self.interlocking.leases.holds(SWEEP, now)))
         self._register.forget()
+        self._feeds.catch_up()
         if self._possessions is not None:
             self._possessions.tick(self.interlocking.leases.holds(POSSESSION, now))
         if self.interlocking.contact.lost(now):
             self._settled_at = float("inf")
-            for link in list(self._sessions):
+            for link in self._feeds.links():
                 link.cut()
 
     # ------------------------------------------------------------ operators
@@ -413,7 +405,7 @@
         self.ring.say("ends: hands over what it owns")
         self._control.closing = True
         self._carry_out(self.interlocking.resign(now))
-        for link in list(self._sessions):
+        for link in self._feeds.links():
             link.close()
         self._loop.call_later(LEAVE_S, self._leave)
 
--- a/leadrudder/station/mesh_state.py
+++ b/leadrudder/station/mesh_state.py
@@ -66,6 +66,7 @@
         self._gate, self._invariants, self._carried_out = gate, invariants, carried_out
         self._loop, self._loans = loop, loans
         self._items_taken = 0  # of the configuration, since the start
+        self._member_list: list[Node] = []  # as of the last pass
         self._evacuated: frozenset[str] = frozenset()  # zones, as carried out
         self._candidates_by_service: dict[str, Candidates] = {}  # as worked out since they last changed
 
@@ -73,7 +74,7 @@
         metrics.add("items", lambda: len(self.book.items))
         metrics.add("routes", lambda: len(self.routing.routes))
         metrics.add("balancers", lambda: len(self.upstreams))
-        metrics.add("members", lambda: len(self.members.members()))
+        metrics.add("members", lambda: len(self._member_list))
         metrics.add("news_items_total", lambda: self._items_taken)
         metrics.add("items_read_total", lambda: self.routing.items_read)
         metrics.add("change_passes_total", lambda: self.changes.passes)
@@ -154,7 +155,7 @@
 
     def look_for_sources(self) -> None:
         """To be called some times a second: a source that was passed over may be asked again."""
-        self.newsstand.follow(self.routing.called_services(), self.members.members())
+        self.newsstand.follow(self.routing.called_services(), self._member_list)
 
     # ------------------------------------------------------------ one pass over what has changed
 
@@ -192,9 +193,9 @@
         return self.endpoints.services()
 
     def _count_members(self) -> None:
-        members = self.members.members()
-        self.upstreams.set_nodes(max(1, len(members)))
-        self.newsstand.forget({node.name for node in members})
+        self._member_list = self.members.members()
+        self.upstreams.set_nodes(max(1, len(self._member_list)))
+        self.newsstand.forget({node.name for node in self._member_list})
 
     def _offer_lists(self, routes: set[str], services: set[str]) -> None:
         """Balancers of these routes and services get the servers that they may draw from now on."""
--- a/leadrudder/station/program.py
+++ b/leadrudder/station/program.py
@@ -47,6 +47,7 @@
 QUIET_S = 0.3
 GRACE_PART_S = 0.6  # of the grace, kept for the end itself
 BEHIND = "behind"  # why a call was refused: this process has more to do than it gets done
+ANSWERED_LATE_S = 0.5  # after its deadline, by which a request is answered in any case
 ANSWERS_OUT_S = 0.2  # before that end, by which the last answers are to be out
 FIRST_HALF_PART_S = 0.1  # before the half of the grace, from when on a request must end within it
 
@@ -174,10 +175,26 @@
         if len(route.split) > 1:
             names, shares = zip(*route.split, strict=True)
             service = self._rng.choices(names, shares)[0]
+        self._check_deadline(errand)
         if self._possession:
             self._count(route, service, errand)
         return self.state.upstreams.balancer(route, service).begin(errand)
 
+    def _check_deadline(self, errand: Errand) -> None:
+        """A request outlives its deadline by no more than this process itself was held up."""
+        answered = errand.answered
+
+        def checked(what: Reply | Verdict) -> None:
+            over_s = self._loop.time() - errand.deadline
+            self.invariants.check(
+                "answered_by_its_deadline",
+                over_s <= ANSWERED_LATE_S + self._lag.seconds(),
+                lambda: f"{errand.attempt_id.decode('latin-1')} answered {over_s:.3f} s after its deadline",
+            )
+            answered(what)
+
+        errand.answered = checked
+
     def _count(self, route: Route, service: str, errand: Errand) -> None:
         """What becomes of it goes into the ledger."""
         began, answered = self._loop.time(), errand.answered
