--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The mesh's own processes under overlapping troubles, on real sockets, with every invariant on."""
