--- a/leadrudder/station/changes.py
+++ b/leadrudder/station/changes.py
@@ -26,6 +26,16 @@
     evacuations: bool = False
     loans: bool = False
 
+    def merge(self, other: PendingChanges) -> None:
+        """Take in changes that were not carried out after all."""
+        self.routes |= other.routes
+        self.services |= other.services
+        self.stations |= other.stations
+        self.members |= other.members
+        self.sources |= other.sources
+        self.evacuations |= other.evacuations
+        self.loans |= other.loans
+
     def any(self) -> bool:
         flags = self.members or self.sources or self.evacuations or self.loans
         return flags or bool(self.routes or self.services or self.stations)
@@ -67,6 +77,10 @@
         began = self._monotonic()
         try:
             self._carry_out(changes)
+        except Exception:
+            # A fault of ours: what it was about to do is not lost, and tried again with what comes next.
+            self.pending.merge(changes)
+            raise
         finally:
             ended = self._monotonic()
             self.passes += 1
--- a/leadrudder/station/outbound.py
+++ b/leadrudder/station/outbound.py
@@ -265,11 +265,11 @@
         if told is not None and (not _NUMBER.fullmatch(told) or b"time-left" in message.repeated):
             return self._plain(write, 400)
         late_s = self._late_s()
-        if late_s > BEHIND_S:
-            self.shed += 1
-            return self._plain(write, 503, COME_BACK)
         left_ms = min(route.give_up_ms, float(told) if told is not None else route.give_up_ms)
         left_ms -= 1000.0 * late_s
+        if late_s > BEHIND_S or (late_s > 0.0 and left_ms <= 0.0):
+            self.shed += 1
+            return self._plain(write, 503, COME_BACK)
         if self.now() > self.last_taken and self.now() + left_ms / 1000.0 > self.end_by:
             return self._plain(write, 503, COME_BACK)
         size = len(message.body)
--- a/tests/mesh/test_outbound.py
+++ b/tests/mesh/test_outbound.py
@@ -121,6 +121,11 @@
         self.assertEqual([errand.attempt_id for errand in self.errands], [b"x3"])
         self.assertEqual(self.outbound.shed, 1)
 
+    def test_a_request_whose_time_is_over_when_it_is_read_is_told_to_come_back(self) -> None:
+        self.late_s = 0.2
+        self.client.data_received(request(fields="Time-Left: 150\r\n", attempt="x1"))
+        self.assertEqual((self.statuses(), self.errands), ([b"503"], []))
+
     def test_time_that_a_request_has_waited_to_be_read_is_no_time_left(self) -> None:
         self.client.data_received(request(fields="Time-Left: 500\r\n", attempt="x1"))
         self.late_s = 0.2
--- a/tests/mesh/test_routing_table.py
+++ b/tests/mesh/test_routing_table.py
@@ -129,6 +129,14 @@
         self.queue.flush()
         self.assertEqual(len(self.done), 1, "nothing is pending, so there is nothing to do")
 
+    def test_a_pass_that_fails_loses_nothing(self) -> None:
+        self.queue.pending.stations.add("a")
+        with mock.patch.object(self.queue, "_carry_out", side_effect=KeyError), self.assertRaises(KeyError):
+            self.queue.flush()
+        self.queue.pending.routes.add("r")
+        self.queue.flush()
+        self.assertEqual([(c.stations, c.routes) for c in self.done], [({"a"}, {"r"})])
+
     def test_passes_take_a_bounded_share_of_the_time(self) -> None:
         self.cost = 0.05
         self.queue.pending.members = True
