--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -70,7 +70,7 @@
         await asyncio.sleep(CALM_S)
         figures = await judge(world, operators)
     finally:
-        wrong = await world.end()
+        wrong = [*await world.end(), *world.faults()]
     if wrong:
         raise InvariantError("; ".join(wrong))
     asked = world.asked()
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -13,6 +13,7 @@
 
 READ_TRIES = 100
 UNSENT_BOUND = UNSENT_MOST + 1024 * 1024  # a whole book may be written beside what waits
+OPEN_FIGURES = ("requests_open", "calls_running", "operator_calls_open")  # none of these in calm
 SERVED_LEAST = 0.3  # of requests, over the whole soak
 
 
@@ -96,6 +97,9 @@
         violated = {name for name in figures if name.startswith("invariant_violations_total")}
         if violated:
             raise InvariantError(f"{machine.role} {machine.host}: {', '.join(sorted(violated))}")
+        for name in OPEN_FIGURES:
+            if figures.get(name):
+                raise InvariantError(f"{machine.role} {machine.host}: {name} is {figures[name]:.0f} in calm")
         if figures.get("session_unsent_bytes", 0.0) > UNSENT_BOUND:
             raise InvariantError(
                 f"{machine.host} keeps {figures['session_unsent_bytes']:.0f} bytes for a station"
--- a/bench/soak/plants.py
+++ b/bench/soak/plants.py
@@ -3,34 +3,42 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 from unittest import mock
 
+from leadrudder.telegraph.link import Link
 from tests.mesh import plants
 
 
-def dead_links() -> Any:
-    """A dial that is given up says so to nobody: what stood before the incident of issue 48."""
+@contextmanager
+def dead_links() -> Iterator[None]:
+    """A dial that is given up says so to nobody, and a write that fails ends nothing: as before issue 48."""
 
     async def connect(make: Callable[[], Any], host: str, port: int, within_s: float) -> Any:
         async with asyncio.timeout(within_s):
             _, protocol = await asyncio.get_running_loop().create_connection(make, host, port)
         return protocol
 
-    return mock.patch("leadrudder.telegraph.link.connect", connect)
+    def send_packed(link: Link, data: bytes) -> bool:
+        if not link.up or link._transport is None or link._transport.is_closing():
+            return False
+        link._transport.write(data)
+        link._sent = link._loop.time()
+        return True
 
-
-def answered_late() -> Any:
-    """A request whose time is over is not answered then."""
-    return mock.patch("leadrudder.station.points.Points._overdue", lambda points, number, errand: None)
+    with (
+        mock.patch("leadrudder.telegraph.link.connect", connect),
+        mock.patch.object(Link, "send_packed", send_packed),
+    ):
+        yield
 
 
 PLANTS: dict[str, Callable[[], Any]] = {
     plant.__name__: plant
     for plant in (
         dead_links,
-        answered_late,
         plants.read_by_one,
         plants.one_copy_is_enough,
         plants.drop_forgotten,
--- a/bench/soak/process.py
+++ b/bench/soak/process.py
@@ -1,6 +1,7 @@
 """One of the mesh's programs, as it runs in service, but for its connections to other machines.
 
-Those go through the relay of the soak, which can cut, hold up and reset them. Run by bench.soak.world:
+Those go through the relay of the soak, which can cut, hold up and reset them. Now and then the process stands
+still while it dials, as one does that is behind. Run by bench.soak.world:
 python -m bench.soak.process station|signalbox
 """
 
@@ -9,8 +10,10 @@
 import argparse
 import asyncio
 import os
+import random
 import socket
 import sys
+import time
 from contextlib import AbstractContextManager, nullcontext
 from typing import Any
 
@@ -24,6 +27,8 @@
 RELAY_VARIABLE = "LEADRUDDER_SOAK_RELAY"  # IP:PORT
 HOST_VARIABLE = "LEADRUDDER_SOAK_HOST"  # the machine's own address
 ACCEPTED = b"+"
+STALL_PART = 0.1  # of dials, while which the process does nothing else
+STALL_S = 0.75  # for so long: more than a dial may take
 
 
 class RelayedLoop(uvloop.Loop):
@@ -43,6 +48,8 @@
             await self.sock_sendall(sock, preamble.encode())
             if await self.sock_recv(sock, 1) != ACCEPTED:
                 raise ConnectionRefusedError
+            if random.random() < STALL_PART:
+                self.call_soon(time.sleep, STALL_S)
             return await super().create_connection(factory, sock=sock)
         except BaseException:
             sock.close()
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -227,6 +227,12 @@
         self.relay.close()
         return wrong
 
+    def faults(self) -> list[str]:
+        """Machines whose processes have written of a fault of their own."""
+        outputs = {machine: self.folder / f"{machine.host}.log" for machine in self.machines}
+        wrong = [m for m, path in outputs.items() if "Traceback" in path.read_text(errors="replace")]
+        return [f"{machine.role} {machine.host} has written of a fault of its own" for machine in wrong]
+
     # ------------------------------------------------------------ calls
 
     async def ask(
--- a/tests/mesh/test_outbound.py
+++ b/tests/mesh/test_outbound.py
@@ -133,6 +133,19 @@
         on_time, late = self.errands
         self.assertAlmostEqual(on_time.deadline - late.deadline, 0.2)
 
+    def test_a_kept_connection_with_a_request_under_way_is_never_closed_by_us(self) -> None:
+        self.client.data_received(request(attempt="x1"))
+        limits = Limits()
+        for waited_ms in (limits.head_wait_ms, limits.idle_ms, 10 * limits.idle_ms):
+            self.client.check(100.0 + waited_ms / 1000.0 + 1.0, limits)
+            self.assertFalse(self.transport.ended)
+        self.outbound.closing = True
+        self.client.check(1000.0, limits)
+        self.client.data_received(b"no request\r\n\r\n")  # what comes behind it is refused in its turn
+        self.assertEqual((self.transport.written, self.transport.ended), (b"", False))
+        self.errands[0].answer(Reply(200, b"", b"done"))
+        self.assertEqual(self.statuses()[0], b"200")
+
     def test_calling_service_is_ours_whatever_came(self) -> None:
         fields = "Calling-Service: other\r\ncalling-service: third\r\nTarget-Server: i\r\n"
         fields += "X-More: 1\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
