--- a/leadrudder/emulation/fleet.py
+++ b/leadrudder/emulation/fleet.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from leadrudder.depot.store import MemoryStore, Store
-from leadrudder.emulation.standins import Asked, Clients, Server, Wish, call, request
+from leadrudder.emulation.standins import Asked, Clients, Server, Wish, Work, call, request
 from leadrudder.rulebook.settings import Settings, read
 from leadrudder.signalbox.program import Signalbox
 from leadrudder.simulation.loop import VirtualLoop
@@ -100,6 +100,7 @@
     cores: int = 3
     slots: int = 9
     work_s: float = 0.06
+    works: Mapping[str, Work] = field(default_factory=dict)  # by host, in place of work_s
     traffic: tuple[float, float] = (8.0, 80.0)
 
 
@@ -236,6 +237,8 @@
             self.plan.slots,
             self.plan.work_s * rng.uniform(0.9, 1.1),
             rng,
+            works=self.plan.works,
+            outbound=(machine.host, OUT),
             cold_until=self.now + cold_s,
         )
         loop.spawn(machine.server.start())
--- a/leadrudder/emulation/standins.py
+++ b/leadrudder/emulation/standins.py
@@ -8,7 +8,7 @@
 import asyncio
 import json
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 from typing import cast
@@ -95,9 +95,28 @@
             self._transport.write(data)
 
 
+@dataclass(frozen=True, slots=True)
+class InternalCall:
+    """A request that a server sends, through the node beside it, while it runs one of its own."""
+
+    host: str
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What a server does for requests of one host.  work_s: mean, without the time that its calls take."""
+
+    work_s: float
+    calls: tuple[InternalCall, ...] = ()  # one after the other
+
+
 @dataclass(eq=False)
 class Server:
-    """One application server.  work_s: mean of a request; runs: by attempt id, how often it ran."""
+    """One application server.  work_s: mean of a request; runs: by attempt id, how often it ran.
+
+    works: for requests of some hosts, what is done in place of work_s; outbound: where its calls go.
+    """
 
     id: str
     service: str
@@ -107,6 +126,8 @@
     slots: int
     work_s: float
     rng: Random
+    works: Mapping[str, Work] = field(default_factory=dict)
+    outbound: tuple[str, int] = ("", 0)
     runs: Counter[str] = field(default_factory=Counter)
     hosts: Counter[str] = field(default_factory=Counter)  # requests run, by host, since last looked at
     draining: bool = False
@@ -153,17 +174,41 @@
             answer(rendered(503, self._fields(message) + b"Not-Run: 1\r\n", b""))
 
     def _run(self, message: WholeMessage, answer: Callable[[bytes], None]) -> None:
+        attempt_id = message.headers.get(b"attempt-id", b"").decode()
+        host = message.headers.get(b"host", b"").decode()
         self.running += 1
-        self.runs[message.headers.get(b"attempt-id", b"").decode()] += 1
-        self.hosts[message.headers.get(b"host", b"").decode()] += 1
+        self.runs[attempt_id] += 1
+        self.hosts[host] += 1
+        work = self.works.get(host, Work(self.work_s))
 
-        def over() -> None:
+        def over(status: int = 200) -> None:
             self.running -= 1
-            answer(rendered(200, self._fields(message) + b"Server-Seal: s\r\n", b"done\n"))
+            seal = b"Server-Seal: s\r\n" if status == 200 else b""
+            answer(rendered(status, self._fields(message) + seal, b"done\n"))
             if self.waiting:
                 self._run(*self.waiting.popleft())
 
-        asyncio.get_running_loop().call_later(self.work_s * self.rng.gammavariate(4.0, 0.25), over)
+        loop = asyncio.get_running_loop()
+
+        def worked() -> None:
+            if work.calls:
+                loop.create_task(self._call(attempt_id, work.calls, over))
+            else:
+                over()
+
+        loop.call_later(work.work_s * self.rng.gammavariate(4.0, 0.25), worked)
+
+    async def _call(
+        self, attempt_id: str, calls: tuple[InternalCall, ...], over: Callable[[int], None]
+    ) -> None:
+        """The request's own calls: if one fails, so does the request, by a 500."""
+        for number, each in enumerate(calls):
+            fields = f"Attempt-Id: {attempt_id}.{number}\r\nTime-Left: {int(1000 * each.deadline_s)}\r\n"
+            answer = await call(self.outbound, request("GET", "/a", each.host, fields), each.deadline_s)
+            if answer is None or answer.status != 200:
+                over(500)
+                return
+        over(200)
 
     def _fields(self, message: WholeMessage) -> bytes:
         load = b"%d,%d,%d" % (self.running, len(self.waiting), self.slots)
--- a/leadrudder/station/gate.py
+++ b/leadrudder/station/gate.py
@@ -76,6 +76,7 @@
         self.cold_per_s = 0.0  # of the configuration; 0: not known
         self.evacuated = False
         self.leaving = False
+        self._slot_seconds, self._slots_since = 0.0, 0.0
 
     # ------------------------------------------------------------ beats
 
@@ -232,7 +233,18 @@
         self._tokens_at = now
         return self._tokens < 1.0
 
+    def slot_seconds(self, now: float) -> float:
+        """Seconds of slots in use since the start, summed over slots."""
+        self._slot_seconds += self.running * (now - self._slots_since)
+        self._slots_since = now
+        return self._slot_seconds
+
+    def waiting(self) -> int:
+        """Calls that wait for a slot."""
+        return sum(1 for queued in self._queue if not queued.gone)
+
     def _start(self, start: Callable[[], None], now: float) -> None:
+        self.slot_seconds(now)
         if self.life is not None and now < self.life.cold_until:
             self._tokens -= 1.0
         self.running += 1
@@ -243,6 +255,7 @@
 
         elapsed_ms: None if it was broken off because its client had left.
         """
+        self.slot_seconds(now)
         self.running -= 1
         if elapsed_ms is not None:
             self._usual_ms += USUAL_STEP * (elapsed_ms - self._usual_ms)
--- a/leadrudder/station/points.py
+++ b/leadrudder/station/points.py
@@ -54,6 +54,7 @@
     attempt_id: bytes
     deadline: float  # seconds on the loop's clock
     answered: Callable[[Reply | Verdict], None]
+    began: float = 0.0  # seconds on the loop's clock
     epoch: int = 0  # of the ledger, in which it began; 0: none is kept
     done: bool = False
     arrivals: int = 0  # at servers, as far as is known or must be feared
--- a/leadrudder/station/program.py
+++ b/leadrudder/station/program.py
@@ -18,7 +18,8 @@
 from leadrudder.observability.invariants import Invariants
 from leadrudder.observability.loop_lag import BEHIND_S, LoopLag
 from leadrudder.observability.metrics import Metrics
-from leadrudder.possession.ledger import Ledger, epoch_of
+from leadrudder.observability.traffic import Traffic
+from leadrudder.possession.ledger import Ledger
 from leadrudder.register import homes
 from leadrudder.rulebook.ring import Ring
 from leadrudder.rulebook.settings import Settings, load
@@ -29,13 +30,14 @@
 from leadrudder.station.mesh_state import MeshState
 from leadrudder.station.outbound import Outbound
 from leadrudder.station.points import Errand
+from leadrudder.station.request_accounting import RequestAccounting
 from leadrudder.station.server import OwnServer
 from leadrudder.station.session import Session
 from leadrudder.telegraph.http import ControlServer
 from leadrudder.telegraph.link import IDLE_TAKEN_S, PING_S, Link
 from leadrudder.timetable.items import Route
 from leadrudder.waybill import waybill_pb2 as wire
-from leadrudder.waybill.verdict import Ran, Reply, Verdict
+from leadrudder.waybill.verdict import Ran
 from leadrudder.waybill.waybill_pb2 import Delivery, Frame, Waybill
 
 SWEEP_S = 0.25
@@ -47,7 +49,6 @@
 QUIET_S = 0.3
 GRACE_PART_S = 0.6  # of the grace, kept for the end itself
 BEHIND = "behind"  # why a call was refused: this process has more to do than it gets done
-ANSWERED_LATE_S = 0.5  # after its deadline, by which a request is answered in any case
 ANSWERS_OUT_S = 0.2  # before that end, by which the last answers are to be out
 FIRST_HALF_PART_S = 0.1  # before the half of the grace, from when on a request must end within it
 
@@ -93,13 +94,21 @@
         self._withdrawals: dict[Link, dict[int, Withdraw]] = {}
         self._terminated_at: float | None = None
         self._done = asyncio.Event()
-        self._refused: Counter[str] = (
-            Counter()
-        )  # waybills that came back without an answer, and why, since the last note
+        self.traffic = Traffic()
+        self._refused: Counter[str] = Counter()  # calls that came back without an answer, since the last note
         self._noted_at = 0.0
         self._calls_shed = 0  # calls to our server, refused because this process was behind
         self._own = OwnServer(settings.app or (settings.ip, 0), most_open=100, platform=platform)
         self._ledger = Ledger()
+        self._accounting = RequestAccounting(
+            self.traffic,
+            self.invariants,
+            self._ledger if possession else None,
+            now=self._loop.time,
+            wall=wall,
+            lag_s=self._lag.seconds,
+            note=self.ring.note,
+        )
         self._inbound = Inbound(
             self.gate,
             self._own,
@@ -154,8 +163,11 @@
     def _metrics(self) -> Metrics:
         metrics = Metrics()
         self.state.add_figures(metrics)
+        self.traffic.add_figures(metrics)
         metrics.add("requests_open", lambda: self._outbound.open)
         metrics.add("calls_running", lambda: self.gate.running)
+        metrics.add("calls_waiting", self.gate.waiting)
+        metrics.add("slot_seconds_total", lambda: self.gate.slot_seconds(self._loop.time()))
         metrics.add("requests_shed_total", lambda: self._outbound.shed)
         metrics.add("calls_shed_total", lambda: self._calls_shed)
         metrics.add("loop_lag_seconds", self._lag.seconds)
@@ -175,41 +187,9 @@
         if len(route.split) > 1:
             names, shares = zip(*route.split, strict=True)
             service = self._rng.choices(names, shares)[0]
-        self._check_deadline(errand)
-        if self._possession:
-            self._count(route, service, errand)
+        self._accounting.begin(route, service, errand)
         return self.state.upstreams.balancer(route, service).begin(errand)
 
-    def _check_deadline(self, errand: Errand) -> None:
-        """A request outlives its deadline by no more than this process itself was held up."""
-        answered = errand.answered
-
-        def checked(what: Reply | Verdict) -> None:
-            over_s = self._loop.time() - errand.deadline
-            self.invariants.check(
-                "answered_by_its_deadline",
-                over_s <= ANSWERED_LATE_S + self._lag.seconds(),
-                lambda: f"{errand.attempt_id.decode('latin-1')} answered {over_s:.3f} s after its deadline",
-            )
-            answered(what)
-
-        errand.answered = checked
-
-    def _count(self, route: Route, service: str, errand: Errand) -> None:
-        """What becomes of it goes into the ledger."""
-        began, answered = self._loop.time(), errand.answered
-        epoch = errand.epoch = epoch_of(self._wall())
-
-        def counted(what: Reply | Verdict) -> None:
-            took_ms = 1000.0 * (self._loop.time() - began)
-            name = errand.attempt_id.decode("latin-1")
-            self._ledger.answered(service, epoch, route.once, name, what, took_ms)
-            if route.once and isinstance(what, Verdict) and what.ran is not Ran.NEVER:
-                self.ring.note(f"in doubt: {name} of {route.name}: {what.why}")
-            answered(what)
-
-        errand.answered = counted
-
     def _carry(
         self,
         errand: Errand,
@@ -236,9 +216,12 @@
             epoch=errand.epoch,
         )
 
+        self.traffic.calls += 1
+
         def counted(delivery: Delivery) -> None:
             if delivery.why:
                 self._refused[delivery.why] += 1
+                self.traffic.refused[delivery.why] += 1
             deliver(delivery)
 
         endpoint = self.state.endpoints.server(server)
--- a/tests/mesh/test_metrics.py
+++ b/tests/mesh/test_metrics.py
@@ -8,8 +8,11 @@
 
 from leadrudder.observability.loop_lag import BEHIND_S, CHECK_S, LoopLag
 from leadrudder.observability.metrics import Metrics
+from leadrudder.observability.traffic import Answered, Traffic
 from leadrudder.station.beats import Beats
+from leadrudder.station.request_accounting import how_answered
 from leadrudder.telegraph.http import Call
+from leadrudder.waybill.verdict import Ran, Reply, Verdict
 
 
 class Figures(unittest.TestCase):
@@ -28,6 +31,22 @@
         self.assertEqual(asyncio.run(beats.dispatch(Call("PUT", ("metrics",), b""))).status, 405)
 
 
+class HowAnswered(unittest.TestCase):
+    def test_in_target_late_refused_and_failed_are_told_apart(self) -> None:
+        served, failed = Reply(200, b"", b""), Reply(500, b"", b"")
+        self.assertEqual(how_answered(served, 99.0, 100.0), Answered.IN_TARGET)
+        self.assertEqual(how_answered(served, 101.0, 100.0), Answered.LATE)
+        self.assertEqual(how_answered(failed, 1.0, 100.0), Answered.FAILED)
+        self.assertEqual(how_answered(Verdict(Ran.NEVER, "full"), 1.0, 100.0), Answered.REFUSED)
+        self.assertEqual(how_answered(Verdict(Ran.MAYBE, "link"), 1.0, 100.0), Answered.FAILED)
+
+    def test_traffic_is_told_by_reason(self) -> None:
+        metrics, traffic = Metrics(), Traffic(calls=3)
+        traffic.add_figures(metrics)
+        traffic.refused["full"] += 2
+        self.assertIn(b'calls_refused_total{why="full"} 2\ncalls_total 3\n', metrics.text())
+
+
 class Lag(unittest.TestCase):
     def setUp(self) -> None:
         self.now = 100.0
