--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -6,8 +6,9 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
+from bench.soak.clients import PROMISES, KeptRequest
 from bench.soak.operators import Held, Operators
-from bench.soak.world import InvariantError, World
+from bench.soak.world import InvariantError, Machine, World
 from leadrudder.emulation.standins import Asked, call, request
 from leadrudder.signalbox.feeds import UNSENT_MOST
 
@@ -15,6 +16,8 @@
 UNSENT_BOUND = UNSENT_MOST + 1024 * 1024  # a whole book may be written beside what waits
 OPEN_FIGURES = ("requests_open", "calls_running", "operator_calls_open")  # none of these in calm
 SERVED_LEAST = 0.3  # of requests, over the whole soak
+ENDS_AFTER_S = 1.5  # a process that has closed its connections, at most: it may stand still in a dial
+END_SEEN_S = 0.5  # a connection's end after that of its process
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +34,7 @@
     await _read_back(world, operators)
     await _in_force_everywhere(world, operators)
     judge_requests(world.runs(), world.asked())
+    judge_kept(world.runs(), world.kept_requests())
     _enough_served(world.asked())
     return await _counted(world)
 
@@ -83,6 +87,25 @@
                 raise InvariantError(f"booking {name} was told as not run, and ran")
 
 
+def judge_kept(runs: Mapping[str, int], kept: Collection[tuple[Machine, KeptRequest]]) -> None:
+    """On connections that were kept: the same, and none ends without its answer but with its process."""
+    for machine, asked in kept:
+        ran = runs.get(asked.id, 0)
+        if asked.once and ran > 1:
+            raise InvariantError(f"booking {asked.id} ran {ran} times")
+        if 200 <= asked.status < 300 and not ran:
+            raise InvariantError(f"{asked.id} was told as served, and no server ran it")
+        if asked.once and asked.status in PROMISES and ran:
+            raise InvariantError(f"booking {asked.id} was told as not run, and ran")
+        with_process = any(-END_SEEN_S <= end - asked.cut_at <= ENDS_AFTER_S for end in machine.ends)
+        if asked.cut_at and not with_process and not (asked.crossed and not ran):
+            after_s = [round(end - asked.cut_at, 2) for end in machine.ends]
+            raise InvariantError(
+                f"{asked.id} got no answer in {asked.cut_at - asked.sent_at:.2f} s, and its connection "
+                f"ended; ends of the machine's processes, in seconds after that: {after_s}"
+            )
+
+
 def _enough_served(asked: Collection[Asked]) -> None:
     served = sum(bool(each.served) for each in asked)
     if served < SERVED_LEAST * len(asked):
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -14,11 +14,12 @@
 import sys
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from random import Random
 from typing import Any
 
+from bench.soak.clients import KeptConnection, KeptRequest
 from bench.soak.process import HOST_VARIABLE, RELAY_VARIABLE
 from bench.soak.relay import Relay
 from leadrudder.emulation.standins import Asked, Clients, Server, Wish, call, request
@@ -33,6 +34,10 @@
 IDLE_ROUTES = 120
 RELAY_HOST = "127.0.9.1"
 SLOTS, WORK_S = 9, 0.03
+KEPT_EACH = 2  # connections that clients of one machine keep
+KEPT_PAUSE_S = 0.25  # between two requests on one of them
+USUAL_SIDES = 4  # more machines ask less each, as all clients and servers share one process
+STARTS_S = 2.0  # of an interpreter, on a busy machine
 CALL_S = 1.0
 APPLY_S = 2.5
 SETTINGS = """nodeName = "{name}"
@@ -82,7 +87,10 @@
     paused: bool = False
     server: AnswerLosingServer | None = None
     clients: Clients | None = None
+    kept: list[KeptConnection] = field(default_factory=list)
+    ends: list[float] = field(default_factory=list)  # when its processes ended, however
     starts: int = 0
+    started_at: float = 0.0
 
     @property
     def role(self) -> str:
@@ -142,6 +150,7 @@
 
     async def start_process(self, machine: Machine, *, first: bool = False) -> None:
         machine.starts += 1
+        machine.started_at = asyncio.get_running_loop().time()
         machine.killed = machine.paused = False
         path = self.folder / f"{machine.host}.toml"
         path.write_text(self._settings(machine, first=first))
@@ -160,6 +169,7 @@
 
     async def _watch(self, machine: Machine, process: asyncio.subprocess.Process) -> None:
         code = await process.wait()
+        machine.ends.append(asyncio.get_running_loop().time())
         if not machine.killed and machine.process is process:
             self.ended.append(f"{machine.role} {machine.host} ended by itself with {code}")
 
@@ -189,6 +199,31 @@
         with contextlib.suppress(ProcessLookupError):
             machine.process.kill()
 
+    async def terminate(self, machine: Machine, within_s: float) -> None:
+        """SIGTERM, and the process's own end; one that does not end in time, or not well, is a fault."""
+        process = machine.process
+        assert process is not None
+        starting = self._starting(machine)
+        machine.killed = True
+        self._send(process, signal.SIGTERM)
+        try:
+            code = await asyncio.wait_for(process.wait(), within_s)
+        except TimeoutError:
+            process.kill()
+            code = await process.wait()
+        if code and not (starting and code == -signal.SIGTERM):
+            self.ended.append(f"{machine.role} {machine.host} ended with {code} after SIGTERM")
+
+    @staticmethod
+    def _starting(machine: Machine) -> bool:
+        """Whether its interpreter may not have come to our code yet, which knows signals."""
+        return asyncio.get_running_loop().time() - machine.started_at < STARTS_S
+
+    def hang_up(self, machine: Machine) -> None:
+        """SIGHUP: its settings are to be read again.  Not while its interpreter starts: it would end."""
+        if machine.process is not None and not machine.killed and not self._starting(machine):
+            self._send(machine.process, signal.SIGHUP)
+
     def wipe(self, machine: Machine) -> None:
         """The disk of a machine whose process is down is empty from now on."""
         shutil.rmtree(self.folder / f"disk-{machine.host}", ignore_errors=True)
@@ -203,8 +238,12 @@
 
     def _signal(self, machine: Machine, number: signal.Signals) -> None:
         if machine.process is not None and not machine.killed:
-            with contextlib.suppress(ProcessLookupError):
-                machine.process.send_signal(number)
+            self._send(machine.process, number)
+
+    @staticmethod
+    def _send(process: asyncio.subprocess.Process, number: signal.Signals) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(number)
 
     async def end(self) -> list[str]:
         """SIGTERM to all; returns the machines whose processes did not end well."""
@@ -251,15 +290,28 @@
         return {name: float(value) for name, value in pairs}
 
     def start_clients(self, until: float) -> None:
+        part = min(1.0, USUAL_SIDES / len(self.side))
+        wishes = tuple(replace(wish, per_s=wish.per_s * part) for wish in WISHES)
         for machine in self.side:
-            machine.clients = Clients(
-                f"c-{machine.host}",
-                (machine.host, self.base + 2),
-                WISHES,
-                until,
-                Random(self.rng.random()),
-            )
+            address = machine.host, self.base + 2
+            machine.clients = Clients(f"c-{machine.host}", address, wishes, until, Random(self.rng.random()))
             machine.clients.start()
+            for i in range(KEPT_EACH):
+                kept = KeptConnection(
+                    f"k-{machine.host}-{i}",
+                    address,
+                    wishes,
+                    until,
+                    KEPT_PAUSE_S / part,
+                    Random(self.rng.random()),
+                )
+                machine.kept.append(kept)
+                task = asyncio.ensure_future(kept.run())
+                self._watchers.add(task)
+                task.add_done_callback(self._watchers.discard)
+
+    def kept_requests(self) -> list[tuple[Machine, KeptRequest]]:
+        return [(m, asked) for m in self.side for kept in m.kept for asked in kept.requests]
 
     def asked(self) -> list[Asked]:
         return [asked for machine in self.side if machine.clients for asked in machine.clients.asked]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,7 +10,8 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from bench.soak.checks import judge_requests
+from bench.soak.checks import judge_kept, judge_requests
+from bench.soak.clients import KeptRequest, read_answer
 from bench.soak.operators import Held, Operators, idle_name, route
 from bench.soak.relay import Relay
 from bench.soak.troubles import CORE_KINDS, SETTLE_S, Kind, overlapping, plan
@@ -135,5 +136,40 @@
                 self.judge(runs, *ids, served=served)
 
 
+class Kept(unittest.TestCase):
+    def judge(self, ran: int, *ends: float, **told: Any) -> None:
+        machine = cast(Any, SimpleNamespace(ends=list(ends)))
+        judge_kept({"a": ran}, [(machine, KeptRequest("a", True, 1.0, **told))])
+
+    def test_a_connection_ends_without_its_answer_only_with_its_process(self) -> None:
+        self.judge(1, 5.1, cut_at=5.0)
+        with self.assertRaises(InvariantError):
+            self.judge(1, 9.0, cut_at=5.0)
+
+    def test_a_close_that_crossed_the_request_is_none_of_it_unless_it_ran(self) -> None:
+        self.judge(0, cut_at=1.01)
+        with self.assertRaises(InvariantError):
+            self.judge(1, cut_at=1.01)
+
+    def test_what_is_told_of_a_booking_holds(self) -> None:
+        self.judge(1, status=200)
+        self.judge(0, status=503)
+        for ran, status in ((0, 200), (1, 503), (2, 200)):
+            with self.subTest(status), self.assertRaises(InvariantError):
+                self.judge(ran, status=status)
+
+    def test_an_answer_is_read_whole_and_its_close_is_seen(self) -> None:
+        async def read(text: bytes) -> tuple[int, bool]:
+            reader = asyncio.StreamReader()
+            reader.feed_data(text)
+            reader.feed_eof()
+            return await read_answer(reader)
+
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"
+        self.assertEqual(asyncio.run(read(whole)), (200, True))
+        with self.assertRaises(asyncio.IncompleteReadError):
+            asyncio.run(read(whole[:-1]))
+
+
 if __name__ == "__main__":
     unittest.main()
