--- a/bench/soak/process.py
+++ b/bench/soak/process.py
@@ -11,18 +11,21 @@
 import asyncio
 import os
 import random
+import signal
 import socket
 import sys
 import time
 from contextlib import AbstractContextManager, nullcontext
 from typing import Any
 
-import uvloop
-from absl import logging
+signal.signal(signal.SIGHUP, signal.SIG_IGN)  # as both programs do
 
-from leadrudder.rulebook.settings import load
-from leadrudder.signalbox.program import Signalbox
-from leadrudder.station.program import Station
+import uvloop  # noqa: E402
+from absl import logging  # noqa: E402
+
+from leadrudder.rulebook.settings import load  # noqa: E402
+from leadrudder.signalbox.program import Signalbox  # noqa: E402
+from leadrudder.station.program import Station  # noqa: E402
 
 RELAY_VARIABLE = "LEADRUDDER_SOAK_RELAY"  # IP:PORT
 HOST_VARIABLE = "LEADRUDDER_SOAK_HOST"  # the machine's own address
--- a/leadrudder/signalbox/__main__.py
+++ b/leadrudder/signalbox/__main__.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import sys
 
-from leadrudder.depot.store import DiskError
-from leadrudder.rulebook.settings import Settings
-from leadrudder.rulebook.start import start
-from leadrudder.signalbox.program import Signalbox
+# Until it is handled, a SIGHUP would end the process: what is imported below takes most of its start.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from leadrudder.depot.store import DiskError  # noqa: E402
+from leadrudder.rulebook.settings import Settings  # noqa: E402
+from leadrudder.rulebook.start import start  # noqa: E402
+from leadrudder.signalbox.program import Signalbox  # noqa: E402
 
 
 async def _serve(settings: Settings, told: argparse.Namespace) -> None:
--- a/leadrudder/signalbox/program.py
+++ b/leadrudder/signalbox/program.py
@@ -260,6 +260,8 @@
                 self._carry_out(self.interlocking.down(link.peer, now))
 
     def _dial_all(self) -> None:
+        if self._done.is_set():
+            return  # a dial begun now would outlive the event loop
         self._loop.call_later(DIAL_S, self._dial_all)
         seats = self.interlocking.seats.holders()
         for address in [a for a in {**self._others, **dict.fromkeys(seats)} if a != self.address]:
--- a/leadrudder/station/program.py
+++ b/leadrudder/station/program.py
@@ -350,6 +350,8 @@
     # ------------------------------------------------------------ time
 
     def _sweep(self) -> None:
+        if self._done.is_set():
+            return  # what it would dial now would outlive the event loop
         self._loop.call_later(SWEEP_S, self._sweep)
         now = self._loop.time()
         if self.gate.silent(now, SILENT_BEATS * self.settings.beat_ms / 1000.0):
