--- a/leadrudder/station/outbound.py
+++ b/leadrudder/station/outbound.py
@@ -13,6 +13,7 @@
 
 from leadrudder.node.http import Message, MessageError
 from leadrudder.observability.loop_lag import BEHIND_S
+from leadrudder.station.client_patience import ClientPatience
 from leadrudder.station.inbound import passed_on
 from leadrudder.station.points import RETRY_LEAST_MS, Errand
 from leadrudder.telegraph.http import WholeMessage, WholeReader, rendered
@@ -192,6 +193,7 @@
         late_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._late_s = late_s
+        self._patience = ClientPatience()
         self.shed = 0  # requests refused because this process was behind, since the start
         self._most_held = most_held
         self._held: dict[Client, int] = {}  # bytes of bodies that are being read
@@ -266,6 +268,7 @@
             return self._plain(write, 400)
         late_s = self._late_s()
         left_ms = min(route.give_up_ms, float(told) if told is not None else route.give_up_ms)
+        waited_ms = self._patience.waited_ms(route.name, left_ms, self.now())
         left_ms -= 1000.0 * late_s
         if late_s > BEHIND_S or (late_s > 0.0 and left_ms <= 0.0):
             self.shed += 1
@@ -291,7 +294,7 @@
             attempt_id=attempt_id,
             deadline=self.now() + left_ms / 1000.0,
             answered=answered,
-            waited_ms=max(0.0, route.give_up_ms - float(told)) if told is not None else 0.0,
+            waited_ms=waited_ms,
         )
         return self._begin(route, errand)
 
