Tests: a request on an idle connection does not hang on how fast the machine is

Cause: test_an_idle_connection_that_breaks_after_the_write failed once on a machine with 15 busy processes (2 connections opened, 1 expected). The decision module sends what may not be repeated on a new connection where the server was not heard of for longer than answers take, and the stub's answers take under a millisecond. Traced: with a pause of 5 ms between the two requests it fails each time. Change: the stub's first answer takes 0.25 s; nothing of what is asserted has changed. Measured: with pauses of 0, 5, 20, 50 and 200 ms one connection each.

--- a/tests/stubs.py
+++ b/tests/stubs.py
@@ -122,6 +122,16 @@
     return behave
 
 
+def after(seconds: float, then: Behaviour) -> Behaviour:
+    """Work on it for so long first."""
+
+    async def behave(server: StubServer, received: Received, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(seconds)
+        await then(server, received, writer)
+
+    return behave
+
+
 async def reset(_: StubServer, __: Received, writer: asyncio.StreamWriter) -> None:
     """Break the connection."""
     writer.transport.abort()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -31,6 +31,7 @@
     PATIENCE_S,
     StubDiscovery,
     StubServer,
+    after,
     held,
     listing,
     raw,
@@ -120,11 +121,16 @@
 def test_an_idle_connection_that_breaks_after_the_write_is_no_reason_to_send_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against the silent resend on a fresh connection that HTTP clients do."""
+    """Guards against the silent resend on a fresh connection that HTTP clients do.
+
+    The first answer takes long: a server that was not heard of for longer than answers take gets a request
+    that may not be repeated on a new connection, and a busy machine may pause for longer than a quick one.
+    """
     monkeypatch.setattr("leadrudder.node.servers.REST_S", 0.0)
+    behaviours = [after(0.25, reply("200 OK")), reset]
 
     async def main() -> None:
-        async with StubServer([reply("200 OK"), reset]) as server, world(row("a", server.address)) as w:
+        async with StubServer(behaviours) as server, world(row("a", server.address)) as w:
             caller = await w.caller()
             assert (await caller.ask("book")).status == 200
             assert (await caller.ask("book")).status == 502
