Review: a case that fails in its own code says that it could not run

Cause: any other error of a script would have ended it with 1, which says that the rule was broken; a script that was ended from outside left its processes behind. Change: such errors give 2; SIGTERM ends the processes that the script started; a script ends after 100 s at most.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -268,18 +268,22 @@
     raise CannotRunError("no free ports")
 
 
-def run_case(folder: Path, play: Callable[[Path, Record], Awaitable[int]], limit_s: float = 115.0) -> int:
+def run_case(folder: Path, play: Callable[[Path, Record], Awaitable[int]], limit_s: float = 100.0) -> int:
     """Plays a case in a temporary folder and returns its exit code."""
     record = Record(folder / "record.txt")
 
     async def limited(scratch: Path) -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # Ended from outside, the case still ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(limit_s):
             return await play(scratch, record)
 
     with tempfile.TemporaryDirectory(prefix="leadrudder-review-") as scratch:
         try:
             code = asyncio.run(limited(Path(scratch)))
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:  # any other end is no finding
             record.write(f"could not run: {error!r}", tell=True)
             code = COULD_NOT_RUN
     record.write({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN"}.get(code, "not played"), tell=True)
