Soak: evacuations, and the check that an evacuated zone gets no requests

Change: an operator of the soak gives such orders in series, on kept and on new connections that pass the relay, so that a partition holds an order back as a network does.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -19,7 +19,15 @@
 from random import Random
 
 from bench.soak.checks import check_invariants
-from bench.soak.faults import FaultInjector, count_overlapping, plan_faults
+from bench.soak.evacuations import EvacuationOperator
+from bench.soak.faults import (
+    CONTROL_FAULT_KINDS,
+    NODE_FAULT_KINDS,
+    FaultInjector,
+    FaultKinds,
+    count_overlapping,
+    plan_faults,
+)
 from bench.soak.operators import Operators
 from bench.soak.world import InvariantError, World
 
@@ -35,6 +43,7 @@
     troubles: int = 0
     overlapping: int = 0
     changes: int = 0
+    orders: int = 0
     reads: int = 0
     requests: int = 0
     served: int = 0
@@ -56,9 +65,10 @@
                 await asyncio.sleep(0.05)
 
 
-async def _run_seed(seed: int, duration_s: float, world: World) -> SeedResult:
+async def _run_seed(seed: int, duration_s: float, world: World, kinds: FaultKinds) -> SeedResult:
     loop = asyncio.get_running_loop()
     operators = Operators(world, Random(f"operators/{seed}"))
+    evacuations = EvacuationOperator(world, Random(f"evacuations/{seed}"))
     await world.start()
     try:
         await operators.configure()
@@ -69,13 +79,15 @@
             [machine.host for machine in world.control_machines],
             [machine.host for machine in world.node_machines],
         )
-        faults = plan_faults(Random(f"troubles/{seed}"), *hosts, duration_s)
+        faults = plan_faults(Random(f"troubles/{seed}"), *hosts, duration_s, kinds)
         change_tasks = [asyncio.ensure_future(operators.change_until(end)) for _ in range(2)]
         read_task = asyncio.ensure_future(operators.read_until(end))
-        injected = await FaultInjector(world, operators).run(faults)
-        await asyncio.gather(*change_tasks, read_task)
+        evacuation_task = asyncio.ensure_future(evacuations.run_until(end))
+        injector = FaultInjector(world, operators)
+        injected = await injector.run(faults)
+        await asyncio.gather(*change_tasks, read_task, evacuation_task)
         await asyncio.sleep(RECOVERY_TIME_S)
-        totals = await check_invariants(world, operators)
+        totals = await check_invariants(world, operators, evacuations, injector.spans)
     finally:
         errors = [*await world.shut_down(), *world.logged_errors()]
     if errors:
@@ -86,6 +98,7 @@
         injected,
         count_overlapping(faults),
         operators.acknowledged_changes,
+        len(evacuations.orders),
         operators.reads,
         len(sent),
         sum(bool(each.served_attempt) for each in sent),
@@ -106,6 +119,7 @@
     *,
     control_count: int = 3,
     node_count: int = 4,
+    kinds: FaultKinds = FaultKinds(),  # noqa: B008  # immutable
 ) -> SeedResult:
     """Run one seed in a temporary folder, which is copied to `keep` if an invariant was violated."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -116,7 +130,7 @@
         world = World(
             seed, folder, control_count=control_count, node_count=node_count, planted_fault=planted_fault
         )
-        return await _run_seed(seed, duration_s, world)
+        return await _run_seed(seed, duration_s, world, kinds)
 
     try:
         return asyncio.run(run_in_loop())
@@ -152,13 +166,24 @@
         "--keep", default="", help="folder for the outputs of seeds that violated an invariant"
     )
     parser.add_argument("--plant", default="", help="a fault of bench.soak.planted_faults to run with")
+    parser.add_argument("--control-faults", default=",".join(CONTROL_FAULT_KINDS), help="kinds to draw from")
+    parser.add_argument("--node-faults", default=",".join(NODE_FAULT_KINDS), help="kinds to draw from")
     options = parser.parse_args(arguments)
     first, _, last = options.seeds.partition(":")
     seeds = range(int(first), int(last or int(first) + 1))
     with ProcessPoolExecutor(options.jobs) as pool:
-        fleet_size = {"control_count": options.cores, "node_count": options.sides}
+        kinds = FaultKinds.parse(options.control_faults, options.node_faults)
         futures = [
-            pool.submit(run_seed, seed, options.seconds, options.keep, options.plant, **fleet_size)
+            pool.submit(
+                run_seed,
+                seed,
+                options.seconds,
+                options.keep,
+                options.plant,
+                control_count=options.cores,
+                node_count=options.sides,
+                kinds=kinds,
+            )
             for seed in seeds
         ]
         results = []
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from bench.soak.clients import NOT_RUN_STATUSES, KeepAliveRequest
+from bench.soak.evacuations import EvacuationOperator, FaultSpan, late_arrivals
 from bench.soak.operators import AcknowledgedRoute, Operators
-from bench.soak.world import InvariantError, Machine, World
+from bench.soak.world import REQUEST_KINDS, InvariantError, Machine, World
 from leadrudder.control_plane.feeds import MAX_UNSENT_BYTES
 from leadrudder.emulation.standins import SentRequest, encoded_request, http_call
 
@@ -19,6 +20,7 @@
 OPEN_REQUEST_METRICS = ("requests_open", "calls_running", "operator_calls_open")
 MIN_SERVED_FRACTION = 0.3  # of all requests of the soak
 MAX_EXIT_DELAY_S = 1.5  # exit of a process after it closed its connections; a blocking dial may delay it
+EVACUATION_PROBES = 10  # requests sent at each machine at the end
 CLOSE_NOTICE_DELAY_S = 0.5  # a client notices the close of a connection this long after the process exited
 
 
@@ -29,12 +31,16 @@
     lag_max_s: float
 
 
-async def check_invariants(world: World, operators: Operators) -> MetricTotals:
-    """InvariantError if an invariant is violated."""
+async def check_invariants(
+    world: World, operators: Operators, evacuations: EvacuationOperator, faults: Sequence[FaultSpan]
+) -> MetricTotals:
+    """InvariantError if an invariant is violated.  faults: as injected."""
     if world.unexpected_exits:
         raise InvariantError("; ".join(world.unexpected_exits))
     await _check_reads(world, operators)
     await _check_nodes_apply_changes(world, operators)
+    await _check_last_evacuations(world, evacuations)
+    _check_evacuated_zones(world, evacuations, faults)
     check_requests(world.runs_by_attempt(), world.sent_requests())
     check_keep_alive_requests(world.runs_by_attempt(), world.keep_alive_requests())
     _check_served_fraction(world.sent_requests())
@@ -71,6 +77,34 @@
         )
 
 
+async def _check_last_evacuations(world: World, evacuations: EvacuationOperator) -> None:
+    """At the end no request of any machine reaches a zone whose last acknowledged order evacuated it."""
+    started_at = asyncio.get_running_loop().time()
+    evacuated = evacuations.evacuated_zones()
+    for machine in world.node_machines:
+        for i in range(EVACUATION_PROBES):
+            kind = REQUEST_KINDS[i % len(REQUEST_KINDS)]
+            fields = f"Attempt-Id: e-{machine.host}-{i}\r\nTime-Left: 1500\r\n"
+            request = encoded_request("GET", "/probe", kind.host, fields)
+            await http_call((machine.host, world.base_port + 2), request, 2.0)
+    reached = [
+        f"{arrival.attempt_id} reached {machine.host} in {machine.zone_name}, which is evacuated at the end"
+        for machine, arrival in world.arrivals()
+        if arrival.at >= started_at and machine.zone_name in evacuated
+    ]
+    if reached:
+        raise InvariantError(f"EVAC: {len(reached)} requests, the first: {reached[0]}")
+
+
+def _check_evacuated_zones(
+    world: World, evacuations: EvacuationOperator, faults: Sequence[FaultSpan]
+) -> None:
+    control_hosts = [machine.host for machine in world.control_machines]
+    late = late_arrivals(evacuations.orders, world.arrivals(), faults, control_hosts)
+    if late:
+        raise InvariantError(f"EVAC: {len(late)} requests, the first: {late[0]}")
+
+
 def check_requests(runs: Mapping[str, int], sent: Collection[SentRequest]) -> None:
     """A booking runs at most once; a refused request never ran; a request that got a success did run.
 
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -12,8 +12,9 @@
 from enum import StrEnum
 from random import Random
 
+from bench.soak.evacuations import FaultSpan
 from bench.soak.operators import Operators
-from bench.soak.world import Machine, World
+from bench.soak.world import OPERATOR_HOST, Machine, World
 
 CONCURRENT_FAULTS = 4
 RECOVERY_GAP_S = 4.0  # between two faults of control machines, for the first one to recover
@@ -67,16 +68,39 @@
         return self.start_s + self.duration_s
 
 
+@dataclass(frozen=True, slots=True)
+class FaultKinds:
+    """The kinds to draw from; none of a class of machines if its kinds are empty."""
+
+    control: tuple[FaultKind, ...] = CONTROL_FAULT_KINDS
+    node: tuple[FaultKind, ...] = NODE_FAULT_KINDS
+
+    @classmethod
+    def parse(cls, control: str, node: str) -> FaultKinds:
+        """From the names of kinds, separated by commas; ValueError for an unknown name."""
+        return cls(_parse_kinds(control), _parse_kinds(node))
+
+
+def _parse_kinds(names: str) -> tuple[FaultKind, ...]:
+    return tuple(FaultKind(name) for name in names.split(",") if name)
+
+
 def plan_faults(
-    rng: Random, control_hosts: Sequence[str], node_hosts: Sequence[str], duration_s: float
+    rng: Random,
+    control_hosts: Sequence[str],
+    node_hosts: Sequence[str],
+    duration_s: float,
+    kinds: FaultKinds = FaultKinds(),  # noqa: B008  # immutable
 ) -> list[Fault]:
     """Faults of the whole run in overlapping sequences: one of control machines, two of nodes, one global."""
-    faults = _draw_sequence(
-        rng, duration_s, RECOVERY_GAP_S, lambda: (rng.choice(CONTROL_FAULT_KINDS), rng.choice(control_hosts))
-    )
-    for _ in range(CONCURRENT_FAULTS - 2):
+    faults = []
+    if kinds.control:
+        faults += _draw_sequence(
+            rng, duration_s, RECOVERY_GAP_S, lambda: (rng.choice(kinds.control), rng.choice(control_hosts))
+        )
+    for _ in range(CONCURRENT_FAULTS - 2 if kinds.node else 0):
         faults += _draw_sequence(
-            rng, duration_s, 0.5, lambda: (rng.choice(NODE_FAULT_KINDS), rng.choice(node_hosts))
+            rng, duration_s, 0.5, lambda: (rng.choice(kinds.node), rng.choice(node_hosts))
         )
     faults += _draw_sequence(rng, duration_s, 1.0, lambda: (FaultKind.DROPPED_RESPONSES, ""))
     return sorted(faults, key=lambda fault: fault.start_s)
@@ -109,6 +133,7 @@
         self._world, self._operators = world, operators
         self._by_host = {machine.host: machine for machine in world.machines}
         self._busy_hosts: set[str] = set()  # hosts with an active fault
+        self.spans: list[FaultSpan] = []  # of the faults injected so far, as they ended
         self._injectors: dict[FaultKind, Callable[[Machine, float], Awaitable[None]]] = {
             FaultKind.KILL: self._kill,
             FaultKind.WIPE: self._wipe,
@@ -130,6 +155,7 @@
         if fault.host in self._busy_hosts:
             return False
         self._busy_hosts.add(fault.host)
+        started_at = asyncio.get_running_loop().time()
         self._world.log.add(f"{fault.kind} {fault.host} for {fault.duration_s:.2f} s")
         if fault.host:
             await self._injectors[fault.kind](self._by_host[fault.host], fault.duration_s)
@@ -137,6 +163,7 @@
             await self._drop_responses(fault.duration_s)
         self._world.log.add(f"{fault.kind} {fault.host} ended")
         self._busy_hosts.discard(fault.host)
+        self.spans.append(FaultSpan(fault.host, started_at, asyncio.get_running_loop().time()))
         return True
 
     async def _kill(self, machine: Machine, duration_s: float) -> None:
@@ -178,6 +205,8 @@
 
     def _directions(self, machine: Machine, outgoing: bool) -> set[tuple[str, str]]:
         others = [other.host for other in self._world.machines if other is not machine]
+        if not machine.service:
+            others.append(OPERATOR_HOST)
         return {(machine.host, other) if outgoing else (other, machine.host) for other in others}
 
     async def _block(self, directions: set[tuple[str, str]], duration_s: float) -> None:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -40,6 +40,7 @@
 )
 IDLE_ROUTE_COUNT = 120
 RELAY_HOST = "127.0.9.1"
+OPERATOR_HOST = "127.0.8.1"
 SERVER_SLOTS, SERVER_WORK_S = 9, 0.03
 KEEP_ALIVE_CLIENTS_PER_NODE = 2  # with one keep-alive connection each
 KEEP_ALIVE_MEAN_PAUSE_S = 0.25  # between two requests on one of these connections
@@ -72,11 +73,37 @@
     """An invariant of the soak is violated."""
 
 
-class ResponseDroppingServer(Server):
-    """A server that runs a part of its requests without ever responding, while `drop_fraction` is set."""
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached a server.  sender: the host of the machine where its client is."""
+
+    at: float
+    attempt_id: str
+
+    @property
+    def sender(self) -> str:
+        """Attempt ids are KIND-HOST-NUMBER, with a number of the client before it for some kinds."""
+        return self.attempt_id.split("-")[1]
+
+
+class ObservedServer(Server):
+    """A server that records when requests reach it.
+
+    It runs a part of its requests without ever responding, while `drop_fraction` is set.
+    """
 
     drop_fraction = 0.0  # of requests
 
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self.arrivals: list[Arrival] = []
+
+    def handle(self, message: BufferedHttpMessage, answer: Callable[[bytes], None]) -> None:
+        if message.headers.get(b"target-server", b"").decode() in ("", self.id):
+            attempt_id = message.headers.get(b"attempt-id", b"").decode()
+            self.arrivals.append(Arrival(asyncio.get_running_loop().time(), attempt_id))
+        super().handle(message, answer)
+
     def _run(self, message: BufferedHttpMessage, answer: Callable[[bytes], None]) -> None:
         dropped = self.rng.random() < self.drop_fraction
         super()._run(message, (lambda data: None) if dropped else answer)
@@ -92,13 +119,17 @@
     process: asyncio.subprocess.Process | None = None
     stopped_on_purpose: bool = False  # its process was stopped on purpose
     paused: bool = False
-    server: ResponseDroppingServer | None = None
+    server: ObservedServer | None = None
     clients: Clients | None = None
     keep_alive_clients: list[KeepAliveClient] = field(default_factory=list)
     exit_times: list[float] = field(default_factory=list)  # when its processes exited, for whatever reason
     start_count: int = 0
     started_at: float = 0.0
 
+    @property
+    def zone_name(self) -> str:
+        return f"z{self.zone}"
+
     @property
     def role(self) -> str:
         return "station" if self.service else "signalbox"
@@ -146,10 +177,10 @@
         for machine in self.machines:
             await self.start_process(machine, first=True)
         for machine in self.node_machines:
-            server = ResponseDroppingServer(
+            server = ObservedServer(
                 f"i-{machine.host}",
                 machine.service,
-                f"z{machine.zone}",
+                machine.zone_name,
                 (machine.host, self.base_port + 1),
                 (machine.host, self.base_port),
                 SERVER_SLOTS,
@@ -342,6 +373,10 @@
             for sent in client.requests
         ]
 
+    def arrivals(self) -> list[tuple[Machine, Arrival]]:
+        """The requests that reached servers, with the machines of these."""
+        return [(m, each) for m in self.node_machines if m.server is not None for each in m.server.arrivals]
+
     def sent_requests(self) -> list[SentRequest]:
         return [
             sent
