Observability of orders: version, age and result of each, and the evacuations that a process knows

Change: orders move from the API into control_plane/orders.py as they are; each leaves a line in the log buffer with its version, how long ago it can have been sent at most and whether its caller has given up, and counts in orders_total, order_conflicts_total, orders_late_total and order_age_highest_seconds. evacuation_version and zone_evacuated tell what each process knows. API requests carry sent_after: from when their connection was ready, and from the event loop's last check but one, which holds across a stall too. No decision uses it.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -88,6 +88,9 @@
         await asyncio.gather(*change_tasks, read_task, evacuation_task)
         await asyncio.sleep(RECOVERY_TIME_S)
         totals = await check_invariants(world, operators, evacuations, injector.spans)
+    except InvariantError:
+        await world.save_diagnostics()
+        raise
     finally:
         errors = [*await world.shut_down(), *world.logged_errors()]
     if errors:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -342,6 +342,14 @@
         samples = (line.rsplit(" ", 1) for line in answer.body.decode().splitlines())
         return {name: float(value) for name, value in samples}
 
+    async def save_diagnostics(self) -> None:
+        """Write the log buffers of the control machines and the metrics of all machines to the folder."""
+        for machine in self.machines:
+            for path in ("/ring", "/metrics") if not machine.service else ("/metrics",):
+                answer = await self.call_control_api(machine, "GET", path, timeout_s=3.0)
+                text = answer.body if answer is not None else b"no answer\n"
+                (self.folder / f"{machine.host}{path.replace('/', '-')}.txt").write_bytes(text)
+
     def start_clients(self, end: float) -> None:
         rate_factor = min(1.0, FULL_RATE_NODES / len(self.node_machines))
         request_kinds = tuple(replace(kind, per_s=kind.per_s * rate_factor) for kind in REQUEST_KINDS)
--- a/leadrudder/configuration/item_store.py
+++ b/leadrudder/configuration/item_store.py
@@ -122,6 +122,10 @@
             configuration["limits"] = json.loads(limits.value)
         return configuration
 
+    def evacuation_versions(self) -> dict[str, int]:
+        """The version of the last order for each zone that was ever evacuated."""
+        return {name: item.version for name, item in self.live_items(EVACUATION_PREFIX).items()}
+
     def evacuated_zones(self) -> frozenset[str]:
         """Zones whose servers are to get no requests."""
         return frozenset(
--- a/leadrudder/control_plane/operator_api.py
+++ b/leadrudder/control_plane/operator_api.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import json
+import time
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -16,6 +17,7 @@
 from leadrudder.configuration.items import EVACUATION_PREFIX, MAX_VOTERS, SERVICE_PREFIX, VOTER_COUNT_KEY
 from leadrudder.consensus.anti_entropy import ReplicaLag
 from leadrudder.consensus.outputs import Answer, ResultCode
+from leadrudder.control_plane.orders import OrderExecutor, OrderResult
 from leadrudder.protocol.mesh_pb2 import Item
 from leadrudder.transport.http import PLAIN_TEXT, ApiRequest, ApiResponse
 
@@ -34,7 +36,8 @@
     pack_snapshot: encodes items as a snapshot.  list_replica_lag: what other replicas are missing.
     describe_voters: the holder of each voter slot.  min_voters: the fewest voter slots that tolerate the
     configured number of machine losses.  fallback: handles requests that are not listed here, or returns
-    None.  metrics_text: this process's metrics in text format.
+    None.  metrics_text: this process's metrics in text format.  orders: carries out requests without a
+    version.
     """
 
     def __init__(
@@ -50,7 +53,9 @@
         min_voters: int = 1,
         fallback: Callable[[ApiRequest], Awaitable[ApiResponse | None]] | None = None,
         metrics_text: Callable[[], bytes] = bytes,
+        orders: OrderExecutor | None = None,
     ) -> None:
+        self._orders = orders or OrderExecutor(committed_items, commit, time.monotonic, log_buffer)
         self._fallback, self._metrics_text = fallback, metrics_text
         self._describe_voters, self._min_voters = describe_voters, min_voters
         self._pack_snapshot, self._list_replica_lag = pack_snapshot, list_replica_lag
@@ -67,9 +72,9 @@
                     case "GET", ("config",):
                         return await self._get_config()
                     case "POST", ("evacuate", zone):
-                        return await self._set_evacuation(zone, True)
+                        return await self._set_evacuation(call, zone, True)
                     case "DELETE", ("evacuate", zone):
-                        return await self._set_evacuation(zone, False)
+                        return await self._set_evacuation(call, zone, False)
                     case "GET", ("snapshot",):
                         return await self._get_snapshot()
                     case "GET", ("repair",):
@@ -78,7 +83,7 @@
                     case "GET", ("core",):
                         return ApiResponse(200, json.dumps(self._describe_voters()).encode(), _JSON_FIELDS)
                     case "POST", ("core", voters):
-                        return await self._resize_core(voters)
+                        return await self._resize_core(call, voters)
                     case "GET", ("ring",):
                         return ApiResponse(200, "\n".join(self._log_buffer.lines()).encode() + b"\n")
                     case "GET", ("metrics",):
@@ -144,29 +149,22 @@
             200, self._pack_snapshot(answer.items), b"Content-Type: application/octet-stream\r\n"
         )
 
-    async def _set_evacuation(self, zone: str, on: bool) -> ApiResponse:
+    async def _set_evacuation(self, call: ApiRequest, zone: str, on: bool) -> ApiResponse:
         if self._zones and zone not in self._zones:
             return ApiResponse(404, b"no such zone\n")
-        return await self._commit_next_version(EVACUATION_PREFIX + zone, b"1" if on else b"0")
+        return await self._execute_order(call, EVACUATION_PREFIX + zone, b"1" if on else b"0")
 
-    async def _resize_core(self, voters: str) -> ApiResponse:
+    async def _resize_core(self, call: ApiRequest, voters: str) -> ApiResponse:
         """Sets the number of voters: an odd one, as one voter more would tolerate no further loss."""
         wanted = int(voters) if voters.isascii() and voters.isdigit() and len(voters) <= 3 else 0
         if not self._min_voters <= wanted <= MAX_VOTERS or wanted % 2 == 0:
             return ApiResponse(
                 400, f"an odd number from {self._min_voters} to {MAX_VOTERS} is wanted\n".encode()
             )
-        return await self._commit_next_version(VOTER_COUNT_KEY, b"%d" % wanted)
-
-    async def _commit_next_version(self, key: str, value: bytes) -> ApiResponse:
-        known = self._committed_items().items.get(key)
-        while True:
-            # These requests carry no version of their own: each takes the one after the latest, so that a
-            # request that was overtaken gets a conflict.
-            version = 1 if known is None else known.version + (known.value != value)
-            answer = await self._commit([Item(key=key, version=version, value=value)])
-            if answer.code is ResultCode.DONE:
-                return ApiResponse(200)
-            if answer.code is not ResultCode.CONFLICT:
-                return ApiResponse(503, b"no majority answered in time\n", _RETRY_AFTER)
-            known = next((item for item in answer.items if item.key == key), None)
+        return await self._execute_order(call, VOTER_COUNT_KEY, b"%d" % wanted)
+
+    async def _execute_order(self, call: ApiRequest, key: str, value: bytes) -> ApiResponse:
+        result = await self._orders.execute(call, key, value)
+        if result is OrderResult.NO_MAJORITY:
+            return ApiResponse(503, b"no majority answered in time\n", _RETRY_AFTER)
+        return ApiResponse(200)
--- a/leadrudder/control_plane/program.py
+++ b/leadrudder/control_plane/program.py
@@ -20,6 +20,7 @@
 from leadrudder.consensus.state_machine import ControlStateMachine
 from leadrudder.control_plane.feeds import SessionFeeds
 from leadrudder.control_plane.operator_api import OperatorApi
+from leadrudder.control_plane.orders import OrderExecutor
 from leadrudder.membership import zone_relays
 from leadrudder.membership.registry import MemberRegistry
 from leadrudder.observability.invariants import Invariants
@@ -66,7 +67,8 @@
         self.address = f"{settings.ip}:{settings.control_link_port}"
         self.log_buffer = LogBuffer(settings.name)
         self.invariants = Invariants(self.log_buffer.log_warning)
-        self._loop_lag = LoopLag(time.monotonic if monotonic is None else monotonic)
+        self._monotonic = time.monotonic if monotonic is None else monotonic
+        self._loop_lag = LoopLag(self._monotonic)
         self._loop = asyncio.get_running_loop()
         self._store: Store = store or (
             DbmStore(settings.data_directory) if settings.data_directory else MemoryStore()
@@ -117,6 +119,7 @@
                 self._wall,
                 self._loop.time,
             )
+        self._orders = OrderExecutor(self._committed_items, self._commit, self._monotonic, self.log_buffer)
         operator_api = OperatorApi(
             self._committed_items,
             self._commit,
@@ -129,10 +132,13 @@
             2 * self.settings.tolerated_machine_losses + 1,
             self._maintenance.dispatch if self._maintenance is not None else None,
             self._metrics().text,
+            self._orders,
         )
         self._api_server = ApiServer(
             operator_api.dispatch,
             lambda e: self.log_buffer.log_warning(f"unhandled exception in an operator request: {e!r}"),
+            self._monotonic,
+            self._loop_lag.earliest_arrival,
         )
         host, port = self.address.rsplit(":", 1)
         self._listener = await self._loop.create_server(
@@ -151,6 +157,10 @@
         metrics.add("items", lambda: len(state_machine.accepted.items))
         metrics.add("items_unsettled", lambda: len(state_machine.uncommitted))
         metrics.add("operator_calls_open", lambda: len(self._pending_requests))
+        self._orders.counters.register_metrics(metrics)
+        metrics.add_labelled(
+            "evacuation_version", "zone", lambda: state_machine.committed.evacuation_versions()
+        )
         metrics.add("news_merged_total", lambda: feeds.deferred_updates)
         metrics.add("session_unsent_bytes", feeds.max_unsent_bytes)
         metrics.add("loop_lag_seconds", self._loop_lag.seconds)
--- a/leadrudder/data_plane/mesh_state.py
+++ b/leadrudder/data_plane/mesh_state.py
@@ -82,6 +82,8 @@
         metrics.add("items", lambda: len(self.item_store.items))
         metrics.add("routes", lambda: len(self.routing.routes))
         metrics.add("balancers", lambda: len(self.upstreams))
+        metrics.add_labelled("evacuation_version", "zone", self.item_store.evacuation_versions)
+        metrics.add_labelled("zone_evacuated", "zone", lambda: dict.fromkeys(self._evacuated, 1))
         metrics.add("members", lambda: len(self._member_list))
         metrics.add("news_items_total", lambda: self._items_accepted)
         metrics.add("items_read_total", lambda: self.routing.items_read)
--- a/leadrudder/observability/loop_lag.py
+++ b/leadrudder/observability/loop_lag.py
@@ -20,6 +20,7 @@
         self._loop = asyncio.get_running_loop()
         self._last_check_lag_s = 0.0  # lag of the last check
         self.highest_s = 0.0  # since the start
+        self._checked_at = self._previously_checked_at = monotonic()
         self._schedule()
 
     def seconds(self) -> float:
@@ -28,6 +29,14 @@
         self.highest_s = max(self.highest_s, lag_s)
         return max(lag_s, self._last_check_lag_s)
 
+    def earliest_arrival(self) -> float:
+        """The earliest time at which input that is read now from an open connection can have arrived.
+
+        The loop polls all connections between two checks, so what was there then has been read before.  That
+        holds too if the process stood still, before or after the last check.
+        """
+        return self._previously_checked_at
+
     def overloaded(self) -> bool:
         """Whether new work must be refused."""
         return self.seconds() > OVERLOAD_LAG_S
@@ -37,6 +46,7 @@
         self._loop.call_later(CHECK_INTERVAL_S, self._check)
 
     def _check(self) -> None:
+        self._previously_checked_at, self._checked_at = self._checked_at, self._monotonic()
         self._last_check_lag_s = 0.0
         self._last_check_lag_s = self.seconds()
         self._schedule()
--- a/leadrudder/transport/http.py
+++ b/leadrudder/transport/http.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import cast
@@ -128,13 +129,31 @@
     )
 
 
+def _is_connected() -> bool:
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class ApiRequest:
-    """An API request of an operator, a server or the platform."""
+    """An API request of an operator, a server or the platform.
+
+    sent_after: it was sent after this time, on the monotonic clock of this process, in seconds.
+    caller_is_connected: whether the caller can still receive the response.
+    """
 
     method: str
     segments: tuple[str, ...]
     body: bytes
+    sent_after: float = field(default_factory=time.monotonic)
+    caller_is_connected: Callable[[], bool] = _is_connected
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedRequest:
+    """A request that waits for its turn.  sent_after: as in ApiRequest."""
+
+    message: HttpMessage
+    sent_after: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,13 +175,16 @@
         self._server = server
         self._reader = HttpReader(self._on_message, requests=True)
         self._transport: asyncio.Transport | None = None
-        self._queue: list[HttpMessage] = []
+        self._queue: list[ReceivedRequest] = []
+        # A caller sends its first request on an open connection, and each further one after a response.
+        self._ready_at = 0.0
         self._task: asyncio.Task[None] | None = None
         self._timeout: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         self._server.connections.add(self)
+        self._ready_at = self._server.earliest_arrival()
         self._restart_timeout()
 
     def _restart_timeout(self) -> None:
@@ -195,39 +217,62 @@
             self._transport.abort()
 
     def _on_message(self, message: HttpMessage) -> None:
-        self._queue.append(message)
+        # A pipelined request may have arrived before the last response was written.
+        sent_after = min(self._ready_at, self._server.earliest_arrival())
+        self._queue.append(ReceivedRequest(message, sent_after))
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._serve_requests())
 
     async def _serve_requests(self) -> None:
         while self._queue and self._transport is not None:
-            message = self._queue.pop(0)
+            received = self._queue.pop(0)
+            message = received.message
             path = message.target.partition(b"?")[0].decode("latin-1")
             segments = tuple(part for part in path.split("/") if part)
             try:
                 response = await self._server.dispatch(
-                    ApiRequest(message.method.decode("latin-1"), segments, message.body)
+                    ApiRequest(
+                        message.method.decode("latin-1"),
+                        segments,
+                        message.body,
+                        received.sent_after,
+                        self._is_connected,
+                    )
                 )
             except Exception as error:  # an internal error must not leave the caller waiting
                 self._server.on_error(error)
                 response = ApiResponse(500)
             close = not message.keep_alive or self._server.closing
             self._write(render_response(response.status, response.fields, response.body, close=close))
+            self._ready_at = self._server.monotonic()
             self._restart_timeout()
             if close and self._transport is not None:
                 self._transport.close()
         self._task = None
 
+    def _is_connected(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
     def _write(self, data: bytes) -> None:
         if self._transport is not None:
             self._transport.write(data)
 
 
 class ApiServer:
-    """Listens for API requests and passes each to dispatch."""
+    """Listens for API requests and passes each to dispatch.
+
+    monotonic: the time in seconds.  earliest_arrival: when input that is read now can have arrived first.
+    """
 
-    def __init__(self, dispatch: Dispatch, on_error: Callable[[Exception], None]) -> None:
+    def __init__(
+        self,
+        dispatch: Dispatch,
+        on_error: Callable[[Exception], None],
+        monotonic: Callable[[], float] = time.monotonic,
+        earliest_arrival: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.dispatch, self.on_error = dispatch, on_error
+        self.monotonic, self.earliest_arrival = monotonic, earliest_arrival
         self.connections: set[ApiConnection] = set()
         self.closing = False
         self._servers: list[asyncio.Server] = []
--- a/tests/mesh/test_control.py
+++ b/tests/mesh/test_control.py
@@ -20,8 +20,10 @@
 from leadrudder.configuration.item_store import ItemStore
 from leadrudder.consensus.outputs import Answer, ResultCode
 from leadrudder.control_plane.operator_api import OperatorApi
+from leadrudder.control_plane.orders import OrderExecutor
 from leadrudder.data_plane.server_api import Heartbeat, ServerApi
 from leadrudder.membership.registry import ORPHAN_GRACE_S, RECONNECT_GRACE_S, MemberRegistry
+from leadrudder.observability.metrics import Metrics
 from leadrudder.protocol.mesh_pb2 import Item, Node
 from leadrudder.transport.http import ApiRequest, ApiResponse
 
@@ -177,6 +179,21 @@
         self.assertEqual(self.call("POST", "evacuate", "z").status, 200)
         self.assertEqual([(i.version, i.value) for (i,) in self.changes], [(1, b"1"), (5, b"1")])
 
+    def test_an_order_leaves_its_version_and_its_age_in_the_log_and_the_counters(self) -> None:
+        self.answers = [Answer(0, ResultCode.DONE)]
+        log_buffer, now = LogBuffer("r"), 50.0
+        orders = OrderExecutor(lambda: self.item_store, self._change, lambda: now, log_buffer)
+        late = ApiRequest("POST", ("evacuate", "z"), b"", sent_after=now - 2.5)
+        asyncio.run(orders.execute(late, "evacuations/z", b"1"))
+        log = "\n".join(log_buffer.lines())
+        self.assertIn("order POST evacuations/z: takes version 1, sent at most 2.500 s ago", log)
+        self.assertIn("its caller has given up", log)
+        metrics = Metrics()
+        orders.counters.register_metrics(metrics)
+        text = metrics.text().decode()
+        self.assertIn("orders_late_total 1\n", text)
+        self.assertIn('orders_total{result="committed"} 1\n', text)
+
     def test_config_reads_back_as_it_was_written(self) -> None:
         self.item_store.merge(
             [
