--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -68,7 +68,8 @@
 async def _run_seed(seed: int, duration_s: float, world: World, kinds: FaultKinds) -> SeedResult:
     loop = asyncio.get_running_loop()
     operators = Operators(world, Random(f"operators/{seed}"))
-    evacuations = EvacuationOperator(world, Random(f"evacuations/{seed}"))
+    injector = FaultInjector(world, operators)
+    evacuations = EvacuationOperator(world, Random(f"evacuations/{seed}"), injector.busy_hosts)
     await world.start()
     try:
         await operators.configure()
@@ -83,7 +84,6 @@
         change_tasks = [asyncio.ensure_future(operators.change_until(end)) for _ in range(2)]
         read_task = asyncio.ensure_future(operators.read_until(end))
         evacuation_task = asyncio.ensure_future(evacuations.run_until(end))
-        injector = FaultInjector(world, operators)
         injected = await injector.run(faults)
         await asyncio.gather(*change_tasks, read_task, evacuation_task)
         await asyncio.sleep(RECOVERY_TIME_S)
--- a/bench/soak/evacuations.py
+++ b/bench/soak/evacuations.py
@@ -17,6 +17,7 @@
 EMPTY_ZONE_S = 5.0  # from the acknowledgement, after which the zone gets no request
 STRETCH_S = 8.0  # longer, while control machines have faults
 CONTACT_S = 3.0  # after a fault, until the machine or the control plane counts as undisturbed
+DISTURBED_FIRST_FRACTION = 0.7  # of orders, which are sent first to a machine with an active fault, if any
 MAX_ORDER_ATTEMPTS = 400
 ORDER_RETRY_DELAY_S = 0.1
 MAX_SERIES_LENGTH = 4  # orders that follow each other at short intervals
@@ -46,10 +47,14 @@
 
 @dataclass(slots=True)
 class EvacuationOperator:
-    """Gives one order after another, each until it is acknowledged; the first machine asked is random."""
+    """Gives one order after another, each until it is acknowledged.
+
+    disturbed_hosts: those with an active fault, kept up to date by the fault injector.
+    """
 
     world: World
     rng: Random
+    disturbed_hosts: Collection[str] = ()
     orders: list[Order] = field(default_factory=list)
     _connections: OperatorConnections = field(init=False)
 
@@ -80,8 +85,7 @@
         loop = asyncio.get_running_loop()
         order = Order(zone, evacuate, loop.time())
         self.orders.append(order)
-        machines = list(self.world.control_machines)
-        self.rng.shuffle(machines)
+        machines = self._machines_to_ask()
         method = "POST" if evacuate else "DELETE"
         for i in range(MAX_ORDER_ATTEMPTS):
             order.attempts += 1
@@ -96,6 +100,13 @@
             await asyncio.sleep(ORDER_RETRY_DELAY_S)
         raise InvariantError("an order was never acknowledged")
 
+    def _machines_to_ask(self) -> list[Machine]:
+        machines = list(self.world.control_machines)
+        self.rng.shuffle(machines)
+        if self.rng.random() < DISTURBED_FIRST_FRACTION:
+            machines.sort(key=lambda machine: machine.host not in self.disturbed_hosts)
+        return machines
+
     def evacuated_zones(self) -> frozenset[str]:
         """The zones that are evacuated by the last acknowledged orders."""
         newest = {order.zone: order.evacuate for order in self.orders}
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -132,7 +132,7 @@
     def __init__(self, world: World, operators: Operators) -> None:
         self._world, self._operators = world, operators
         self._by_host = {machine.host: machine for machine in world.machines}
-        self._busy_hosts: set[str] = set()  # hosts with an active fault
+        self.busy_hosts: set[str] = set()  # hosts with an active fault
         self.spans: list[FaultSpan] = []  # of the faults injected so far, as they ended
         self._injectors: dict[FaultKind, Callable[[Machine, float], Awaitable[None]]] = {
             FaultKind.KILL: self._kill,
@@ -152,9 +152,9 @@
 
     async def _inject(self, fault: Fault) -> bool:
         await asyncio.sleep(fault.start_s)
-        if fault.host in self._busy_hosts:
+        if fault.host in self.busy_hosts:
             return False
-        self._busy_hosts.add(fault.host)
+        self.busy_hosts.add(fault.host)
         started_at = asyncio.get_running_loop().time()
         self._world.log.add(f"{fault.kind} {fault.host} for {fault.duration_s:.2f} s")
         if fault.host:
@@ -162,7 +162,7 @@
         else:
             await self._drop_responses(fault.duration_s)
         self._world.log.add(f"{fault.kind} {fault.host} ended")
-        self._busy_hosts.discard(fault.host)
+        self.busy_hosts.discard(fault.host)
         self.spans.append(FaultSpan(fault.host, started_at, asyncio.get_running_loop().time()))
         return True
 
