An order takes no version once its caller may have given up

Cause: an order carries no version; the node that carries it out takes the one after the newest that it knows. One that it read after its caller had given up (the process stood still, or the network had held the order back) or that met a conflict then came on top of orders that were given and acknowledged later. Change: an order takes a version only while its caller waits: its connection is open, and the earliest time at which it can have been sent, from the connection and from the event loop's checks, is less than 0.9 s ago. The version is chosen before this is checked, so a stall in between leaves an old version, which conflicts. Otherwise the answer is 503 and the connection closes, so that the order can be sent again on a new one. Holds for the number of voters too.

--- a/leadrudder/control_plane/operator_api.py
+++ b/leadrudder/control_plane/operator_api.py
@@ -5,7 +5,6 @@
 import asyncio
 import dataclasses
 import json
-import time
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -17,7 +16,7 @@
 from leadrudder.configuration.items import EVACUATION_PREFIX, MAX_VOTERS, SERVICE_PREFIX, VOTER_COUNT_KEY
 from leadrudder.consensus.anti_entropy import ReplicaLag
 from leadrudder.consensus.outputs import Answer, ResultCode
-from leadrudder.control_plane.orders import OrderExecutor, OrderResult
+from leadrudder.control_plane.orders import LATE_RESPONSE, OrderExecutor, OrderResult
 from leadrudder.protocol.mesh_pb2 import Item
 from leadrudder.transport.http import PLAIN_TEXT, ApiRequest, ApiResponse
 
@@ -55,7 +54,7 @@
         metrics_text: Callable[[], bytes] = bytes,
         orders: OrderExecutor | None = None,
     ) -> None:
-        self._orders = orders or OrderExecutor(committed_items, commit, time.monotonic, log_buffer)
+        self._orders = orders or OrderExecutor(committed_items, commit, log_buffer)
         self._fallback, self._metrics_text = fallback, metrics_text
         self._describe_voters, self._min_voters = describe_voters, min_voters
         self._pack_snapshot, self._list_replica_lag = pack_snapshot, list_replica_lag
@@ -165,6 +164,8 @@
 
     async def _execute_order(self, call: ApiRequest, key: str, value: bytes) -> ApiResponse:
         result = await self._orders.execute(call, key, value)
+        if result is OrderResult.TOO_LATE:
+            return LATE_RESPONSE
         if result is OrderResult.NO_MAJORITY:
             return ApiResponse(503, b"no majority answered in time\n", _RETRY_AFTER)
         return ApiResponse(200)
--- a/leadrudder/control_plane/orders.py
+++ b/leadrudder/control_plane/orders.py
@@ -1,6 +1,7 @@
 """Orders: writes of operators that carry no version, such as the evacuation of a zone.
 
-Each order takes the version after the newest one, so its place among other orders is decided here.
+Each order takes the version after the newest one, so its place among other orders is decided here.  It takes
+one only while its caller waits: later, it might come after orders that were given after it.
 """
 
 from __future__ import annotations
@@ -15,9 +16,12 @@
 from leadrudder.consensus.outputs import Answer, ResultCode
 from leadrudder.observability.metrics import Metrics
 from leadrudder.protocol.mesh_pb2 import Item
-from leadrudder.transport.http import ApiRequest
+from leadrudder.transport.http import ApiRequest, ApiResponse
 
-CALLER_TIMEOUT_S = 1.0  # without an answer, after which callers give up
+# The caller, if it still waits, sends the order again; on a new connection it is certain to be in time.
+LATE_RESPONSE = ApiResponse(
+    503, b"the order may be late: send it again\n", b"Retry-After: 0.2\r\n", close=True
+)
 
 
 class OrderResult(StrEnum):
@@ -26,43 +30,40 @@
     COMMITTED = "committed"  # a majority has it under a version of its own
     UNCHANGED = "unchanged"  # the newest known version has the same value, and no other was taken
     NO_MAJORITY = "no_majority"
+    TOO_LATE = "too_late"  # the caller may have given up; the order has no effect
 
 
 @dataclass(slots=True)
 class OrderCounters:
     """Counters since the start of the process.
 
-    conflicts: versions that another order had taken; late: orders carried out after their callers gave up.
+    conflicts: versions that another order had taken.
     highest_age_s: the longest that an order may have been on its way before it took a version, in seconds.
     """
 
     results: Counter[str] = field(default_factory=Counter)
     conflicts: int = 0
-    late: int = 0
     highest_age_s: float = 0.0
 
     def register_metrics(self, metrics: Metrics) -> None:
         metrics.add_labelled("orders_total", "result", lambda: self.results)
         metrics.add("order_conflicts_total", lambda: self.conflicts)
-        metrics.add("orders_late_total", lambda: self.late)
         metrics.add("order_age_highest_seconds", lambda: self.highest_age_s)
 
 
 class OrderExecutor:
     """Carries out orders.  committed_items: this process's view of the control state.
 
-    commit: writes items to a majority.  monotonic: the clock of ApiRequest.sent_after, in seconds.
+    commit: writes items to a majority.
     """
 
     def __init__(
         self,
         committed_items: Callable[[], ItemStore],
         commit: Callable[[list[Item]], Awaitable[Answer]],
-        monotonic: Callable[[], float],
         log_buffer: LogBuffer,
     ) -> None:
-        self._committed_items, self._commit = committed_items, commit
-        self._monotonic, self._log_buffer = monotonic, log_buffer
+        self._committed_items, self._commit, self._log_buffer = committed_items, commit, log_buffer
         self.counters = OrderCounters()
 
     async def execute(self, call: ApiRequest, key: str, value: bytes) -> OrderResult:
@@ -72,7 +73,9 @@
             # An order that was overtaken by another one gets a conflict.
             version = 1 if known is None else known.version + (known.value != value)
             is_unchanged = known is not None and version == known.version
-            self._record_age(call, key, version)
+            # After the choice of the version: if the process stands still from here on, the version is old.
+            if not self._caller_waits(call, key, version):
+                return self._record_result(key, version, OrderResult.TOO_LATE)
             answer = await self._commit([Item(key=key, version=version, value=value)])
             if answer.code is ResultCode.DONE:
                 return self._record_result(
@@ -83,15 +86,15 @@
             self.counters.conflicts += 1
             known = next((item for item in answer.items if item.key == key), None)
 
-    def _record_age(self, call: ApiRequest, key: str, version: int) -> None:
-        age_s = self._monotonic() - call.sent_after
-        is_late = age_s > CALLER_TIMEOUT_S or not call.caller_is_connected()
-        self.counters.late += is_late
+    def _caller_waits(self, call: ApiRequest, key: str, version: int) -> bool:
+        age_s = call.caller.max_age_s()
         self.counters.highest_age_s = max(self.counters.highest_age_s, age_s)
+        waits = call.caller.still_waits()
         self._log_buffer.record(
-            f"order {call.method} {key}: takes version {version}, sent at most {age_s:.3f} s ago"
-            + (", its caller has given up" if is_late else "")
+            f"order {call.method} {key}: {'takes' if waits else 'caller has given up, does not take'} "
+            f"version {version}, sent at most {age_s:.3f} s ago"
         )
+        return waits
 
     def _record_result(self, key: str, version: int, result: OrderResult) -> OrderResult:
         self.counters.results[result] += 1
--- a/leadrudder/control_plane/program.py
+++ b/leadrudder/control_plane/program.py
@@ -119,7 +119,7 @@
                 self._wall,
                 self._loop.time,
             )
-        self._orders = OrderExecutor(self._committed_items, self._commit, self._monotonic, self.log_buffer)
+        self._orders = OrderExecutor(self._committed_items, self._commit, self.log_buffer)
         operator_api = OperatorApi(
             self._committed_items,
             self._commit,
--- a/leadrudder/transport/http.py
+++ b/leadrudder/transport/http.py
@@ -14,6 +14,7 @@
 import httptools
 
 from leadrudder.node.http import HttpMessage, HttpMessageError, HttpParser
+from leadrudder.transport.caller import Caller
 
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -129,40 +130,24 @@
     )
 
 
-def _is_connected() -> bool:
-    return True
-
-
 @dataclass(frozen=True, slots=True)
 class ApiRequest:
-    """An API request of an operator, a server or the platform.
-
-    sent_after: it was sent after this time, on the monotonic clock of this process, in seconds.
-    caller_is_connected: whether the caller can still receive the response.
-    """
+    """An API request of an operator, a server or the platform."""
 
     method: str
     segments: tuple[str, ...]
     body: bytes
-    sent_after: float = field(default_factory=time.monotonic)
-    caller_is_connected: Callable[[], bool] = _is_connected
-
-
-@dataclass(frozen=True, slots=True)
-class ReceivedRequest:
-    """A request that waits for its turn.  sent_after: as in ApiRequest."""
-
-    message: HttpMessage
-    sent_after: float
+    caller: Caller = field(default_factory=Caller)
 
 
 @dataclass(frozen=True, slots=True)
 class ApiResponse:
-    """The response to an API request."""
+    """The response to an API request.  close: the connection is closed after it."""
 
     status: int
     body: bytes = b""
     fields: bytes = b""
+    close: bool = False
 
 
 Dispatch = Callable[[ApiRequest], Awaitable[ApiResponse]]
@@ -175,7 +160,7 @@
         self._server = server
         self._reader = HttpReader(self._on_message, requests=True)
         self._transport: asyncio.Transport | None = None
-        self._queue: list[ReceivedRequest] = []
+        self._queue: list[tuple[HttpMessage, Caller]] = []
         # A caller sends its first request on an open connection, and each further one after a response.
         self._ready_at = 0.0
         self._task: asyncio.Task[None] | None = None
@@ -219,30 +204,23 @@
     def _on_message(self, message: HttpMessage) -> None:
         # A pipelined request may have arrived before the last response was written.
         sent_after = min(self._ready_at, self._server.earliest_arrival())
-        self._queue.append(ReceivedRequest(message, sent_after))
+        self._queue.append((message, Caller(sent_after, self._is_connected, self._server.monotonic)))
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._serve_requests())
 
     async def _serve_requests(self) -> None:
         while self._queue and self._transport is not None:
-            received = self._queue.pop(0)
-            message = received.message
+            message, caller = self._queue.pop(0)
             path = message.target.partition(b"?")[0].decode("latin-1")
             segments = tuple(part for part in path.split("/") if part)
             try:
                 response = await self._server.dispatch(
-                    ApiRequest(
-                        message.method.decode("latin-1"),
-                        segments,
-                        message.body,
-                        received.sent_after,
-                        self._is_connected,
-                    )
+                    ApiRequest(message.method.decode("latin-1"), segments, message.body, caller)
                 )
             except Exception as error:  # an internal error must not leave the caller waiting
                 self._server.on_error(error)
                 response = ApiResponse(500)
-            close = not message.keep_alive or self._server.closing
+            close = not message.keep_alive or response.close or self._server.closing
             self._write(render_response(response.status, response.fields, response.body, close=close))
             self._ready_at = self._server.monotonic()
             self._restart_timeout()
--- a/tests/mesh/test_api_server.py
+++ b/tests/mesh/test_api_server.py
@@ -50,7 +50,7 @@
             await self.receive(connection)
 
         asyncio.run(check())
-        self.assertEqual([call.sent_after for call in self.calls], [100.0 - CHECK_INTERVAL_S])
+        self.assertEqual([call.caller.sent_after for call in self.calls], [100.0 - CHECK_INTERVAL_S])
 
     def test_a_further_request_was_sent_after_the_last_response(self) -> None:
         async def check() -> None:
@@ -63,7 +63,7 @@
 
         asyncio.run(check())
         self.assertEqual(
-            [call.sent_after for call in self.calls],
+            [call.caller.sent_after for call in self.calls],
             [100.0 - CHECK_INTERVAL_S, 100.0, 104.01 - CHECK_INTERVAL_S],
         )
 
@@ -77,7 +77,7 @@
             await self.receive(connection, b"")
 
         asyncio.run(check())
-        self.assertEqual([call.sent_after for call in self.calls], [100.0 - CHECK_INTERVAL_S] * 2)
+        self.assertEqual([call.caller.sent_after for call in self.calls], [100.0 - CHECK_INTERVAL_S] * 2)
 
     def test_a_request_that_a_stalled_process_reads_may_be_as_old_as_the_stall(self) -> None:
         async def check() -> None:
@@ -87,7 +87,7 @@
             await self.receive(connection)
 
         asyncio.run(check())
-        self.assertEqual([call.sent_after for call in self.calls], [95.0 - CHECK_INTERVAL_S])
+        self.assertEqual([call.caller.sent_after for call in self.calls], [95.0 - CHECK_INTERVAL_S])
 
     def test_a_caller_that_closed_its_connection_is_not_connected(self) -> None:
         async def check() -> None:
@@ -95,9 +95,9 @@
             self.answers.clear()
             await self.receive(connection)
             (call,) = self.calls
-            self.assertTrue(call.caller_is_connected())
+            self.assertTrue(call.caller.is_connected())
             connection.connection_lost(None)
-            self.assertFalse(call.caller_is_connected())
+            self.assertFalse(call.caller.is_connected())
             self.answers.set()
 
         asyncio.run(check())
--- a/tests/mesh/test_control.py
+++ b/tests/mesh/test_control.py
@@ -20,11 +20,12 @@
 from leadrudder.configuration.item_store import ItemStore
 from leadrudder.consensus.outputs import Answer, ResultCode
 from leadrudder.control_plane.operator_api import OperatorApi
-from leadrudder.control_plane.orders import OrderExecutor
+from leadrudder.control_plane.orders import OrderExecutor, OrderResult
 from leadrudder.data_plane.server_api import Heartbeat, ServerApi
 from leadrudder.membership.registry import ORPHAN_GRACE_S, RECONNECT_GRACE_S, MemberRegistry
 from leadrudder.observability.metrics import Metrics
 from leadrudder.protocol.mesh_pb2 import Item, Node
+from leadrudder.transport.caller import CALLER_TIMEOUT_S, Caller
 from leadrudder.transport.http import ApiRequest, ApiResponse
 
 FILE: dict[str, Any] = {
@@ -181,18 +182,51 @@
 
     def test_an_order_leaves_its_version_and_its_age_in_the_log_and_the_counters(self) -> None:
         self.answers = [Answer(0, ResultCode.DONE)]
-        log_buffer, now = LogBuffer("r"), 50.0
-        orders = OrderExecutor(lambda: self.item_store, self._change, lambda: now, log_buffer)
-        late = ApiRequest("POST", ("evacuate", "z"), b"", sent_after=now - 2.5)
-        asyncio.run(orders.execute(late, "evacuations/z", b"1"))
+        log_buffer = LogBuffer("r")
+        orders = OrderExecutor(lambda: self.item_store, self._change, log_buffer)
+        for sent_after in (49.7, 47.5):
+            caller = Caller(sent_after, monotonic=lambda: 50.0)
+            call = ApiRequest("POST", ("evacuate", "z"), b"", caller)
+            asyncio.run(orders.execute(call, "evacuations/z", b"1"))
+        self.assertEqual(len(self.changes), 1)
         log = "\n".join(log_buffer.lines())
-        self.assertIn("order POST evacuations/z: takes version 1, sent at most 2.500 s ago", log)
-        self.assertIn("its caller has given up", log)
+        self.assertIn("order POST evacuations/z: takes version 1, sent at most 0.300 s ago", log)
+        self.assertIn("caller has given up, does not take version 1, sent at most 2.500 s ago", log)
         metrics = Metrics()
         orders.counters.register_metrics(metrics)
         text = metrics.text().decode()
-        self.assertIn("orders_late_total 1\n", text)
         self.assertIn('orders_total{result="committed"} 1\n', text)
+        self.assertIn('orders_total{result="too_late"} 1\n', text)
+        self.assertIn("order_age_highest_seconds 2.5\n", text)
+
+    def test_an_order_takes_no_version_once_its_caller_has_given_up_or_left(self) -> None:
+        now, connected = 50.0, True
+        states_at_conflict = [(50.0 + CALLER_TIMEOUT_S + 0.1, True), (50.1, False)]
+        caller = Caller(now, lambda: connected, lambda: now)
+
+        async def change(items: list[Item]) -> Answer:
+            nonlocal now, connected
+            now, connected = states_at_conflict.pop(0)
+            self.changes.append(items)
+            return Answer(0, ResultCode.CONFLICT, (Item(key="evacuations/z", version=9, value=b"0"),))
+
+        for what in ("given up", "left"):
+            with self.subTest(what):
+                now, connected, self.changes = 50.0, True, []
+                orders = OrderExecutor(lambda: self.item_store, change, LogBuffer("r"))
+                call = ApiRequest("POST", ("evacuate", "z"), b"", caller)
+                result = asyncio.run(orders.execute(call, "evacuations/z", b"1"))
+                self.assertEqual(result, OrderResult.TOO_LATE)
+                self.assertEqual(len(self.changes), 1)
+
+    def test_an_order_that_may_be_late_is_to_be_sent_again_on_a_new_connection(self) -> None:
+        api = OperatorApi(lambda: self.item_store, self._change, self._read, ("z",), LogBuffer("r"))
+        caller = Caller(0.0, monotonic=lambda: 2.0)
+        for call in (("POST", "evacuate", "z"), ("DELETE", "evacuate", "z"), ("POST", "core", "3")):
+            with self.subTest(call):
+                answer = run(api.dispatch(ApiRequest(call[0], call[1:], b"", caller)))
+                self.assertEqual((answer.status, answer.close), (503, True))
+        self.assertEqual(self.changes, [])
 
     def test_config_reads_back_as_it_was_written(self) -> None:
         self.item_store.merge(
--- a/tests/mesh/test_late_orders.py
+++ b/tests/mesh/test_late_orders.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from typing import Any
 
 from leadrudder.consensus.state_machine import ControlStateMachine
 from leadrudder.emulation.fleet import CONTROL_PORT, Fleet, Machine
@@ -12,6 +13,7 @@
 from tests.mesh.test_emulation import PLAN
 
 ZONE = "z2"
+ZONE_PATH = f"/evacuate/{ZONE}"
 EVACUATE, TAKE_BACK = "POST", "DELETE"
 OPERATOR_TIMEOUT_S = 1.0
 EMPTY_ZONE_S = 5.0  # from the acknowledgement, after which the zone gets no request
@@ -25,12 +27,12 @@
         self.fleet = Fleet(65, PLAN)
         self.fleet.run_until(8.0)
 
-    def order(self, machine: Machine, method: str) -> int:
+    def order(self, machine: Machine, method: str, path: str = ZONE_PATH, body: bytes = b"") -> int:
         """Give an order to one machine and wait for its answer; returns the status, 0 if none comes."""
         statuses: list[int] = []
 
         async def send() -> None:
-            request = encoded_request(method, f"/evacuate/{ZONE}", "control")
+            request = encoded_request(method, path, "control", body=body)
             answer = await http_call((machine.host, CONTROL_PORT), request, OPERATOR_TIMEOUT_S)
             statuses.append(answer.status if answer is not None else 0)
 
@@ -39,6 +41,29 @@
             self.fleet.run_until(self.fleet.now + 0.01)
         return statuses[0]
 
+    def order_until_taken(self, machine: Machine, method: str, *request: Any) -> int:
+        """The owner of the section may be the frozen machine: another claims the section meanwhile."""
+        while (status := self.order(machine, method, *request)) == 503:
+            self.fleet.run_until(self.fleet.now + 0.1)
+        return status
+
+    def hold_back(self, machine: Machine, method: str, path: str = ZONE_PATH, body: bytes = b"") -> None:
+        """Send an order on a connection kept open; the network delays it, and its caller gives up."""
+
+        async def send() -> None:
+            loop = asyncio.get_running_loop()
+            transport, _ = await loop.create_connection(asyncio.Protocol, machine.host, CONTROL_PORT)
+            await asyncio.sleep(KEPT_OPEN_S)
+            extra_latency_us = self.fleet.network.conditions.extra_latency_us
+            extra_latency_us[machine.host] = int(HELD_BACK_S * US_PER_S)
+            transport.write(encoded_request(method, path, "control", body=body))
+            del extra_latency_us[machine.host]
+            await asyncio.sleep(OPERATOR_TIMEOUT_S)
+            transport.close()
+
+        self.fleet.run_operator(send)
+        self.fleet.run_until(self.fleet.now + KEPT_OPEN_S + OPERATOR_TIMEOUT_S + 0.5)
+
     def check_that_the_zone_gets_no_requests(self) -> None:
         """Requires it from EMPTY_ZONE_S after the last order on, for as long again."""
         self.fleet.run_until(self.fleet.now + EMPTY_ZONE_S)
@@ -65,32 +90,13 @@
                 self.assertEqual(self.order(other, TAKE_BACK), 200)
 
     def test_an_order_that_the_network_held_back_is_not_carried_out(self) -> None:
-        """It was sent on a connection that had been kept open, and its caller gave up."""
         first, other, _ = self.fleet.control_machines
         self.assertEqual(self.order(other, EVACUATE), 200)
-        self.fleet.run_operator(lambda: self.send_on_kept_connection(first, TAKE_BACK))
-        self.fleet.run_until(self.fleet.now + KEPT_OPEN_S + OPERATOR_TIMEOUT_S + 0.5)
+        self.hold_back(first, TAKE_BACK)
         self.assertEqual(self.order(other, TAKE_BACK), 200)
         self.assertEqual(self.order(other, EVACUATE), 200)
         self.check_that_the_zone_gets_no_requests()
 
-    async def send_on_kept_connection(self, machine: Machine, method: str) -> None:
-        loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_connection(asyncio.Protocol, machine.host, CONTROL_PORT)
-        await asyncio.sleep(KEPT_OPEN_S)
-        extra_latency_us = self.fleet.network.conditions.extra_latency_us
-        extra_latency_us[machine.host] = int(HELD_BACK_S * US_PER_S)
-        transport.write(encoded_request(method, f"/evacuate/{ZONE}", "control"))
-        del extra_latency_us[machine.host]
-        await asyncio.sleep(OPERATOR_TIMEOUT_S)
-        transport.close()
-
-    def order_until_taken(self, machine: Machine, method: str) -> int:
-        """The owner of the zone's section may be the frozen machine: another claims the section meanwhile."""
-        while (status := self.order(machine, method)) == 503:
-            self.fleet.run_until(self.fleet.now + 0.1)
-        return status
-
 
 class UnansweredOrderTest(OrderTest):
     def test_an_order_that_one_replica_alone_has_does_not_undo_the_next_one(self) -> None:
