Maintenance windows: a late order of an operator changes none

An order to plan a window that the network held back planned it anew after it had been stopped by a later, acknowledged one. Change: planning, stopping and ending a window take a version only while the caller waits.

--- a/leadrudder/control_plane/maintenance.py
+++ b/leadrudder/control_plane/maintenance.py
@@ -21,6 +21,7 @@
 from leadrudder.configuration.routing_table import RoutingTable
 from leadrudder.configuration.validation import Finding
 from leadrudder.consensus.outputs import Answer, ResultCode
+from leadrudder.control_plane.orders import LATE_RESPONSE
 from leadrudder.maintenance import contract, controller, ledger, planner, window
 from leadrudder.maintenance.contract import DurationSecondsField
 from leadrudder.maintenance.controller import MaintenanceController
@@ -234,16 +235,16 @@
                     return ApiResponse(404)
                 return _json({**describe_window(found_window), "report": self._report(found_window)})
             case "POST", ("maintenance", name):
-                return await self._request_window(name, call.body, keep=True)
+                return await self._request_window(name, call, keep=True)
             case "POST", ("maintenance", name, "plan"):
-                return await self._request_window(name, call.body, keep=False)
+                return await self._request_window(name, call, keep=False)
             case "DELETE", ("maintenance", name):
                 return await self._alter_window(
-                    name, lambda w: controller.stop_window(w, "an operator stopped it")
+                    name, call, lambda w: controller.stop_window(w, "an operator stopped it")
                 )
             case "POST", ("maintenance", name, "done", machine):
                 return await self._alter_window(
-                    name, lambda w: controller.finish_early(w, machine, self._wall())
+                    name, call, lambda w: controller.finish_early(w, machine, self._wall())
                 )
             case _, ("contracts" | "maintenance", *_):
                 return ApiResponse(405)
@@ -276,9 +277,9 @@
             {"warnings": [str(f) for each in contracts.values() for f in contract.warnings(each, now)]}
         )
 
-    async def _request_window(self, name: str, body: bytes, *, keep: bool) -> ApiResponse:
+    async def _request_window(self, name: str, call: ApiRequest, *, keep: bool) -> ApiResponse:
         try:
-            order = cast(dict[str, Any], _WINDOW_REQUEST.load(json.loads(body)))
+            order = cast(dict[str, Any], _WINDOW_REQUEST.load(json.loads(call.body)))
         except ValidationError as error:
             return _rejected(400, [Finding("order", f"windows.{name}", str(error.messages))])
         except (ValueError, RecursionError) as error:
@@ -290,7 +291,10 @@
         if not keep:
             return _json(describe_window(planned))
         planned = dataclasses.replace(planned, counts_at_plan=self._totals.latest_counts()[1])
-        answer = await self._commit_window(planned, self._next_version(name))
+        version = self._next_version(name)
+        if not call.caller.still_waits():
+            return LATE_RESPONSE
+        answer = await self._commit_window(planned, version)
         if answer.code is not ResultCode.DONE:
             return _commit_failed(answer.code)
         await self._drop_old_windows()
@@ -301,7 +305,9 @@
             known = self._committed_items().items[WINDOW_PREFIX + name]
             await self._commit([Item(key=known.key, version=known.version + 1, dropped=True)])
 
-    async def _alter_window(self, name: str, alter: Callable[[Window], Window | None]) -> ApiResponse:
+    async def _alter_window(
+        self, name: str, call: ApiRequest, alter: Callable[[Window], Window | None]
+    ) -> ApiResponse:
         """Applies an operator's change, with retries when the lease holder changed the window first."""
         for _ in range(MAX_ALTER_ATTEMPTS):
             known = self.situation().windows.get(name)
@@ -310,7 +316,10 @@
             altered = None if known.is_over() else alter(known)
             if altered is None:
                 return ApiResponse(409, f"it is {known.state()}\n".encode())
-            answer = await self._commit_window(altered, self._next_version(name))
+            version = self._next_version(name)
+            if not call.caller.still_waits():
+                return LATE_RESPONSE
+            answer = await self._commit_window(altered, version)
             if answer.code is ResultCode.DONE:
                 return _json(describe_window(altered))
             if answer.code is not ResultCode.CONFLICT:
--- a/tests/mesh/test_late_orders.py
+++ b/tests/mesh/test_late_orders.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import unittest
 from typing import Any
 
+from bench.window import contracts
 from leadrudder.consensus.state_machine import ControlStateMachine
 from leadrudder.emulation.fleet import CONTROL_PORT, Fleet, Machine
 from leadrudder.emulation.standins import encoded_request, http_call
+from leadrudder.maintenance.window import Window
 from leadrudder.simulation.scheduler import US_PER_S
 from tests.mesh.test_emulation import PLAN
+from tests.mesh.test_emulation import order as window_order
 
 ZONE = "z2"
 ZONE_PATH = f"/evacuate/{ZONE}"
@@ -98,6 +102,30 @@
         self.check_that_the_zone_gets_no_requests()
 
 
+class LateMaintenanceOrderTest(OrderTest):
+    def setUp(self) -> None:
+        self.fleet = Fleet(65, PLAN, maintenance=True)
+        self.fleet.run_until(5.0)
+        body = contracts(approved=True)
+        for each in body["addOrReplace"]["contracts"].values():
+            each["capacityLeft"] = 0.5
+        taken = self.order(self.fleet.control_machines[0], "PATCH", "/contracts", json.dumps(body).encode())
+        self.assertEqual(taken, 200)
+
+    def test_an_order_that_the_network_held_back_plans_no_window_that_was_stopped(self) -> None:
+        first, other, _ = self.fleet.control_machines
+        path, body = "/maintenance/huolto", json.dumps(window_order("side-0")).encode()
+        self.hold_back(first, "POST", path, body)
+        self.assertEqual(self.order(other, "POST", path, body), 200)
+        self.assertEqual(self.order(other, "DELETE", path), 200)
+        self.fleet.run_until(self.fleet.now + HELD_BACK_S)
+        self.assertTrue(self.window(other).is_over())
+
+    def window(self, machine: Machine) -> Window:
+        assert machine.control_node is not None and machine.control_node._maintenance is not None
+        return machine.control_node._maintenance.situation().windows["huolto"]
+
+
 class UnansweredOrderTest(OrderTest):
     def test_an_order_that_one_replica_alone_has_does_not_undo_the_next_one(self) -> None:
         """The taking back gets no answer; its owner alone has it, and is away when the zone is evacuated."""
