Every order takes a version of its own, and a majority confirms it

Cause: an order that found the wanted state in force was acknowledged without a new version. A contrary order that one replica alone had accepted, without an answer, had a higher version and came into force when that replica was back. And an owner that had lost its section unnoticed answered from what it knew, without asking anyone. Change: an order takes the next version also if the value stays, so it supersedes whatever was accepted before; an owner acknowledges an order of an equal version only once a majority has confirmed it under its epoch, and an older version always conflicts.

--- a/leadrudder/consensus/ownership.py
+++ b/leadrudder/consensus/ownership.py
@@ -429,14 +429,16 @@
             # Refuse only on committed items: an item being replicated may still be discarded.
             committed = machine.committed.items.get(item.key)
             is_committed = committed is not None and committed.version >= old.version
-            other = (item.value, item.dropped) != (old.value, old.dropped)
-            if other and (item.version == old.version or item.key.startswith(SEQUENTIAL_PREFIXES)):
-                # For an order, any later version conflicts: its counter has advanced.
+            differs = (item.value, item.dropped) != (old.value, old.dropped)
+            is_order = item.key.startswith(SEQUENTIAL_PREFIXES)
+            # For an order, any later version conflicts: its counter has advanced.
+            if (is_order and item.version < old.version) or (differs and item.version == old.version):
                 if not is_committed:
                     return ResultCode.BUSY, [], []
                 taken = any(self._is_taken(each) for each in request.items)
                 return (ResultCode.PARTLY_TAKEN if taken else ResultCode.CONFLICT), [], []
-            if not is_committed:
+            # An order is confirmed by a majority again: this node may have lost the section unnoticed.
+            if is_order or not is_committed:
                 copy = Item()
                 copy.CopyFrom(old)
                 pending.append(copy)
--- a/leadrudder/control_plane/orders.py
+++ b/leadrudder/control_plane/orders.py
@@ -28,7 +28,6 @@
     """How an order ended."""
 
     COMMITTED = "committed"  # a majority has it under a version of its own
-    UNCHANGED = "unchanged"  # the newest known version has the same value, and no other was taken
     NO_MAJORITY = "no_majority"
     TOO_LATE = "too_late"  # the caller may have given up; the order has no effect
 
@@ -70,17 +69,15 @@
         """Give an item a value under the next version."""
         known = self._committed_items().items.get(key)
         while True:
-            # An order that was overtaken by another one gets a conflict.
-            version = 1 if known is None else known.version + (known.value != value)
-            is_unchanged = known is not None and version == known.version
+            # Always a version of its own, also for the value in force: one replica may have accepted an
+            # earlier order without an answer, which must not come into force after this one.
+            version = 1 if known is None else known.version + 1
             # After the choice of the version: if the process stands still from here on, the version is old.
             if not self._caller_waits(call, key, version):
                 return self._record_result(key, version, OrderResult.TOO_LATE)
             answer = await self._commit([Item(key=key, version=version, value=value)])
             if answer.code is ResultCode.DONE:
-                return self._record_result(
-                    key, version, OrderResult.UNCHANGED if is_unchanged else OrderResult.COMMITTED
-                )
+                return self._record_result(key, version, OrderResult.COMMITTED)
             if answer.code is not ResultCode.CONFLICT:
                 return self._record_result(key, version, OrderResult.NO_MAJORITY)
             self.counters.conflicts += 1
--- a/tests/mesh/test_concurrent_operators.py
+++ b/tests/mesh/test_concurrent_operators.py
@@ -19,6 +19,40 @@
 FROZEN_SEEDS = range(24)
 
 
+class OrdersAtAStaleOwner(unittest.TestCase):
+    """An owner that was cut off goes on for a moment while others decide without it."""
+
+    KEY = "evacuations/z"
+
+    def setUp(self) -> None:
+        self.world = World(65)
+        self.world.run_until(4.0)
+        self.owner = next(machine for machine in self.world.machines.values() if self._owns(machine))
+        self.assertEqual(self._order(3), [ResultCode.DONE])
+
+    def _owns(self, machine: Machine) -> bool:
+        process = machine.process
+        return process is not None and process.section_of(self.KEY) in process.ownership.owned_sections()
+
+    def _order(self, version: int) -> list[ResultCode]:
+        codes: list[ResultCode] = []
+        item = Item(key=self.KEY, version=version, value=b"1")
+        self.world.submit_change(self.owner, [item], lambda answer: codes.append(answer.code))
+        self.world.run_until(self.world.now + 0.5)
+        return codes
+
+    def test_an_order_that_changes_nothing_is_acknowledged_only_by_a_majority(self) -> None:
+        self.assertEqual(self._order(3), [ResultCode.DONE])
+        others = [address for address in self.world.machines if address != self.owner.address]
+        self.world.partition([self.owner.address], others)
+        self.assertTrue(self._owns(self.owner))
+        self.assertNotIn(ResultCode.DONE, self._order(3))
+
+    def test_an_order_with_an_older_version_conflicts_also_with_the_same_value(self) -> None:
+        self.assertEqual(self._order(4), [ResultCode.DONE])
+        self.assertEqual(self._order(3), [ResultCode.CONFLICT])
+
+
 class ConcurrentChanges(unittest.TestCase):
     def setUp(self) -> None:
         self.world = World(3)
--- a/tests/mesh/test_control.py
+++ b/tests/mesh/test_control.py
@@ -180,6 +180,12 @@
         self.assertEqual(self.call("POST", "evacuate", "z").status, 200)
         self.assertEqual([(i.version, i.value) for (i,) in self.changes], [(1, b"1"), (5, b"1")])
 
+    def test_an_evacuation_in_force_takes_a_version_of_its_own_when_it_is_ordered_again(self) -> None:
+        self.item_store.merge([Item(key="evacuations/z", version=4, value=b"1")])
+        self.answers = [Answer(0, ResultCode.DONE)]
+        self.assertEqual(self.call("POST", "evacuate", "z").status, 200)
+        self.assertEqual([(i.version, i.value) for (i,) in self.changes], [(5, b"1")])
+
     def test_an_order_leaves_its_version_and_its_age_in_the_log_and_the_counters(self) -> None:
         self.answers = [Answer(0, ResultCode.DONE)]
         log_buffer = LogBuffer("r")
