--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -28,8 +28,9 @@
     count_overlapping,
     plan_faults,
 )
+from bench.soak.machine import InvariantError
 from bench.soak.operators import Operators
-from bench.soak.world import InvariantError, World
+from bench.soak.world import World
 
 READY_TIMEOUT_S = 20.0
 RECOVERY_TIME_S = 6.0  # after the last fault, for the mesh to recover before the final checks
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -8,8 +8,9 @@
 
 from bench.soak.clients import NOT_RUN_STATUSES, KeepAliveRequest
 from bench.soak.evacuations import EvacuationOperator, FaultSpan, late_arrivals
+from bench.soak.machine import InvariantError, Machine
 from bench.soak.operators import AcknowledgedRoute, Operators
-from bench.soak.world import REQUEST_KINDS, InvariantError, Machine, World
+from bench.soak.world import REQUEST_KINDS, World
 from leadrudder.control_plane.feeds import MAX_UNSENT_BYTES
 from leadrudder.emulation.standins import SentRequest, encoded_request, http_call
 
--- a/bench/soak/evacuations.py
+++ b/bench/soak/evacuations.py
@@ -11,8 +11,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from bench.soak.machine import Arrival, InvariantError, Machine
 from bench.soak.operator_connections import OperatorConnections
-from bench.soak.world import Arrival, InvariantError, Machine, World
+from bench.soak.world import World
 
 EMPTY_ZONE_S = 5.0  # from the acknowledgement, after which the zone gets no request
 STRETCH_S = 8.0  # longer, while control machines have faults
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -13,8 +13,9 @@
 from random import Random
 
 from bench.soak.evacuations import FaultSpan
+from bench.soak.machine import Machine
 from bench.soak.operators import Operators
-from bench.soak.world import OPERATOR_HOST, Machine, World
+from bench.soak.world import OPERATOR_HOST, World
 
 CONCURRENT_FAULTS = 4
 RECOVERY_GAP_S = 4.0  # between two faults of control machines, for the first one to recover
--- a/bench/soak/operator_connections.py
+++ b/bench/soak/operator_connections.py
@@ -11,8 +11,9 @@
 from random import Random
 
 from bench.soak.clients import read_response
+from bench.soak.machine import Machine
 from bench.soak.process import ACCEPTED
-from bench.soak.world import CALL_TIMEOUT_S, OPERATOR_HOST, Machine, World
+from bench.soak.world import CALL_TIMEOUT_S, OPERATOR_HOST, World
 from leadrudder.emulation.standins import encoded_request
 
 NEW_CONNECTION_FRACTION = 0.5  # of orders; the others are sent on a connection that was kept open
--- a/bench/soak/operators.py
+++ b/bench/soak/operators.py
@@ -11,7 +11,8 @@
 from random import Random
 from typing import Any
 
-from bench.soak.world import IDLE_ROUTE_COUNT, REQUEST_KINDS, SERVICES, InvariantError, Machine, World
+from bench.soak.machine import InvariantError, Machine
+from bench.soak.world import IDLE_ROUTE_COUNT, REQUEST_KINDS, SERVICES, World
 from leadrudder.transport.http import BufferedHttpMessage
 
 CHANGE_INTERVAL_S = 0.15  # between changes
--- a/bench/soak/planted_faults.py
+++ b/bench/soak/planted_faults.py
@@ -8,6 +8,7 @@
 from typing import Any
 from unittest import mock
 
+from leadrudder.transport.caller import Caller
 from leadrudder.transport.link import Link
 from tests.mesh import planted_faults
 
@@ -35,10 +36,18 @@
         yield
 
 
+@contextmanager
+def late_orders() -> Iterator[None]:
+    """Orders are carried out whether or not their callers still wait: the fault of issue 65."""
+    with mock.patch.object(Caller, "still_waits", lambda caller: True):
+        yield
+
+
 PLANTED_FAULTS: dict[str, Callable[[], Any]] = {
     fault.__name__: fault
     for fault in (
         dead_links,
+        late_orders,
         planted_faults.read_by_one,
         planted_faults.one_copy_is_enough,
         planted_faults.drop_forgotten,
--- a/tests/soak/test_evacuations.py
+++ b/tests/soak/test_evacuations.py
@@ -17,7 +17,7 @@
     Order,
     late_arrivals,
 )
-from bench.soak.world import Arrival, InvariantError, Machine
+from bench.soak.machine import Arrival, InvariantError, Machine
 
 CONTROL_HOST, NODE_HOST, OTHER_HOST = "127.0.1.1", "127.0.2.1", "127.0.2.2"
 MACHINE = Machine(NODE_HOST, 1, "kal")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,9 +13,9 @@
 from bench.soak.checks import check_keep_alive_requests, check_requests
 from bench.soak.clients import KeepAliveRequest, read_response
 from bench.soak.faults import CONTROL_FAULT_KINDS, RECOVERY_GAP_S, FaultKind, count_overlapping, plan_faults
+from bench.soak.machine import InvariantError
 from bench.soak.operators import AcknowledgedRoute, Operators, idle_route_name, route_record
 from bench.soak.relay import Relay
-from bench.soak.world import InvariantError
 from leadrudder.emulation.standins import SentRequest
 
 CONTROL_HOSTS, NODE_HOSTS = ["127.0.1.1", "127.0.1.2", "127.0.1.3"], ["127.0.2.1", "127.0.2.2"]
