Soak: a process starts until its own log says that it handles signals

The check took 2 s for the start of any interpreter. Change: a process counts as starting until it has logged that its signal handlers are installed, and no longer. That is stricter: until now each process could end by SIGTERM within its first 2 s, and got no SIGHUP then.

--- a/bench/soak/machine.py
+++ b/bench/soak/machine.py
@@ -67,7 +67,7 @@
     keep_alive_clients: list[KeepAliveClient] = field(default_factory=list)
     exit_times: list[float] = field(default_factory=list)  # when its processes exited, for whatever reason
     start_count: int = 0
-    started_at: float = 0.0
+    log_offset: int = 0  # in bytes, of the present process in the machine's log file
 
     @property
     def zone_name(self) -> str:
--- a/bench/soak/process.py
+++ b/bench/soak/process.py
@@ -30,6 +30,7 @@
 RELAY_ENV_VARIABLE = "LEADRUDDER_SOAK_RELAY"  # IP:PORT of the relay
 HOST_ENV_VARIABLE = "LEADRUDDER_SOAK_HOST"  # IP address of the machine that the process belongs to
 ACCEPTED = b"+"
+SIGNALS_HANDLED_LINE = "signals are handled from now on"  # in the log of a process
 STALL_FRACTION = 0.1  # of dials, during which the process does nothing else
 STALL_S = 0.75  # longer than the timeout of a dial
 
@@ -37,6 +38,13 @@
 class RelayedLoop(uvloop.Loop):
     """An event loop that opens connections to other machines through the relay."""
 
+    def add_signal_handler(  # type: ignore[override]  # without the types of variadic arguments
+        self, sig: int, callback: Any, *arguments: Any
+    ) -> None:
+        super().add_signal_handler(sig, callback, *arguments)
+        if sig == signal.SIGHUP:  # the last one that both programs handle
+            print(SIGNALS_HANDLED_LINE, file=sys.stderr, flush=True)
+
     async def create_connection(  # type: ignore[override]  # covers both overloads
         self, factory: Any, host: Any = None, port: Any = None, **options: Any
     ) -> Any:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -20,7 +20,7 @@
 
 from bench.soak.clients import KeepAliveClient, KeepAliveRequest
 from bench.soak.machine import Arrival, InvariantError, Log, Machine, ObservedServer
-from bench.soak.process import HOST_ENV_VARIABLE, RELAY_ENV_VARIABLE
+from bench.soak.process import HOST_ENV_VARIABLE, RELAY_ENV_VARIABLE, SIGNALS_HANDLED_LINE
 from bench.soak.relay import Relay
 from leadrudder.emulation.standins import (
     Clients,
@@ -44,7 +44,6 @@
 KEEP_ALIVE_CLIENTS_PER_NODE = 2  # with one keep-alive connection each
 KEEP_ALIVE_MEAN_PAUSE_S = 0.25  # between two requests on one of these connections
 FULL_RATE_NODES = 4  # beyond these, each machine's rate falls: all clients and servers share one process
-INTERPRETER_START_S = 2.0  # of a Python interpreter on a busy machine
 CALL_TIMEOUT_S = 1.0
 APPLY_TIMEOUT_S = 2.5
 SETTINGS_TEMPLATE = """nodeName = "{name}"
@@ -113,7 +112,6 @@
 
     async def start_process(self, machine: Machine, *, first: bool = False) -> None:
         machine.start_count += 1
-        machine.started_at = asyncio.get_running_loop().time()
         machine.stopped_on_purpose = machine.paused = False
         path = self.folder / f"{machine.host}.toml"
         path.write_text(self._settings(machine, first=first))
@@ -124,6 +122,7 @@
             HOST_ENV_VARIABLE: machine.host,
         }
         with open(self.folder / f"{machine.host}.log", "ab") as output:
+            machine.log_offset = output.tell()
             command = [
                 sys.executable,
                 "-m",
@@ -188,10 +187,10 @@
                 f"{machine.role} {machine.host} exited with code {code} after SIGTERM"
             )
 
-    @staticmethod
-    def _starting(machine: Machine) -> bool:
-        """Whether its interpreter may not have reached the code that handles signals yet."""
-        return asyncio.get_running_loop().time() - machine.started_at < INTERPRETER_START_S
+    def _starting(self, machine: Machine) -> bool:
+        """Whether its process has not reached the code that handles signals yet."""
+        log = (self.folder / f"{machine.host}.log").read_bytes()
+        return SIGNALS_HANDLED_LINE.encode() not in log[machine.log_offset :]
 
     def reload_settings(self, machine: Machine) -> None:
         """SIGHUP: reload the settings.  Not while the interpreter starts, as the signal would end it."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import json
+import tempfile
 import unittest
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from random import Random
 from types import SimpleNamespace
 from typing import Any, cast
@@ -15,7 +17,9 @@
 from bench.soak.faults import CONTROL_FAULT_KINDS, RECOVERY_GAP_S, FaultKind, count_overlapping, plan_faults
 from bench.soak.machine import InvariantError
 from bench.soak.operators import AcknowledgedRoute, Operators, idle_route_name, route_record
+from bench.soak.process import SIGNALS_HANDLED_LINE
 from bench.soak.relay import Relay
+from bench.soak.world import World
 from leadrudder.emulation.standins import SentRequest
 
 CONTROL_HOSTS, NODE_HOSTS = ["127.0.1.1", "127.0.1.2", "127.0.1.3"], ["127.0.2.1", "127.0.2.2"]
@@ -43,6 +47,22 @@
         self.assertNotIn(FaultKind.DROPPED_RESPONSES, CONTROL_FAULT_KINDS)
 
 
+class StartTest(unittest.TestCase):
+    def test_a_process_starts_until_its_own_log_says_that_it_handles_signals(self) -> None:
+        async def check(folder: Path) -> None:
+            world = World(1, folder)
+            machine = world.node_machines[0]
+            log_path = folder / f"{machine.host}.log"
+            log_path.write_text(f"{SIGNALS_HANDLED_LINE}\n")
+            machine.log_offset = log_path.stat().st_size
+            self.assertTrue(world._starting(machine))
+            log_path.write_text(f"{SIGNALS_HANDLED_LINE}\nstarting\n{SIGNALS_HANDLED_LINE}\n")
+            self.assertFalse(world._starting(machine))
+
+        with tempfile.TemporaryDirectory() as folder:
+            asyncio.run(check(Path(folder)))
+
+
 class RelayTest(unittest.TestCase):
     def test_a_blocked_direction_delays_bytes_and_loses_none(self) -> None:
         asyncio.run(self.run_over_relay(self.check_blocked_direction))
