Demo: the drill waits until all three control-plane nodes have started before it ends them

Cause: after the restore two of three control-plane nodes answer the read; the third was still starting, and SIGTERM ended it before its handler was there.

--- a/leadrudder/mesh/demo.py
+++ b/leadrudder/mesh/demo.py
@@ -227,6 +227,9 @@
     )
     if json.loads(restored.body) != json.loads(configuration):
         raise TimeoutError
+    # Two of three can answer a read; SIGTERM would end the third at once if it is still starting.
+    for ip in fleet.control_plane_ips:
+        await _call_until("started", _render_request("GET", "/ring"), [(ip, fleet.base_port)])
     print("it is what stood before", flush=True)
 
 
