A booking that its server turned away may be sent to that server again

Cause: admission control remembers the id of each unsafe request that it starts, and refuses a second one as "seen", which may have run. Refused calls were forgotten, started ones never, also when the server had answered Not-Run, refused the connection, or was gone before the request was written. The next attempt at the same server was taken for a duplicate. Change: a started call that has certainly not run is forgotten as well.

--- a/leadrudder/data_plane/admission_control.py
+++ b/leadrudder/data_plane/admission_control.py
@@ -206,6 +206,10 @@
         while len(self._seen_ids) > MAX_REMEMBERED_IDS:
             self._seen_ids.popitem(last=False)
 
+    def on_call_not_run(self, forward_request: ForwardRequest) -> None:
+        """A started call has certainly not run: its request may be sent again."""
+        self._forget_id(forward_request)
+
     def _forget_id(self, forward_request: ForwardRequest) -> None:
         """A refused request has not run and may be sent again."""
         if forward_request.once:
--- a/leadrudder/data_plane/inbound.py
+++ b/leadrudder/data_plane/inbound.py
@@ -128,6 +128,8 @@
             response = self._make_response(forward_request, outcome, message)
             if outcome is Outcome.CONNECT_FAILED:
                 self.admission.on_connect_failure(forward_request.server, now)
+            if response.ran == Executed.NEVER:
+                self.admission.on_call_not_run(forward_request)
             deliver(response)
             elapsed_ms = None if outcome is Outcome.CANCELLED else 1000.0 * (now - started_at)
             self.admission.on_call_ended(elapsed_ms, now, forward_request.target_ms)
