After SIGTERM idle client connections stay open, and their next answer closes them

A request that had arrived in the socket's buffer, or was on its way, met a closed socket. Change: an idle connection is closed by its idle timeout alone, or when the process ends. While the node shuts down, each answer says Connection: close, and no request is refused for having come late on a kept connection.

--- a/leadrudder/data_plane/outbound.py
+++ b/leadrudder/data_plane/outbound.py
@@ -182,7 +182,7 @@
                 limits.header_timeout_ms, limits.idle_timeout_ms if self._reader.in_message else 0.0
             ):
                 self._reject(408, "the request did not come in whole")
-        elif elapsed_ms > limits.idle_timeout_ms or self._outbound.closing:
+        elif elapsed_ms > limits.idle_timeout_ms:
             self._transport.close()
 
     def force_close(self) -> None:
@@ -216,7 +216,7 @@
         self._held_bytes_total = 0  # including the bodies of open requests
         self.limits = limits
         self.clients: dict[ClientConnection, None] = {}
-        self.closing = False
+        self.closing = False  # each connection is closed with its next answer
         # After this time only requests whose deadline is before answers_due_by are accepted.
         self.unrestricted_until = math.inf
         self.answers_due_by = math.inf  # when the last answer must have been written
--- a/tests/mesh/test_graceful_shutdown.py
+++ b/tests/mesh/test_graceful_shutdown.py
@@ -126,6 +126,13 @@
         self.client.data_received(request(fields="Time-Left: 900\r\n"))
         self.assertEqual(len(self.accepted), 1)
 
+    def test_a_request_on_a_kept_connection_is_answered_however_long_that_was_idle(self) -> None:
+        """Guards against seed 532 of the soak: the node closed idle connections right after SIGTERM."""
+        self.client.check_timeouts(self.clock.now + 0.25, Limits())
+        self.assertFalse(self.transport.ended)
+        self.client.data_received(request(fields="Time-Left: 900\r\n"))
+        self.assertEqual(len(self.accepted), 1)
+
     def test_refused_with_retry_after_if_it_could_be_cut_off(self) -> None:
         self.clock.now = 104.6
         self.client.data_received(request(fields="Time-Left: 900\r\n"))
