An attempt that is given up before it started counts as never run

What callers saw: an unsafe request whose deadline passed while its attempt waited in the queue of its own machine, or for a link to come up, was answered 504 ("may have run"), though this node itself had just made sure that it never will. Cause: giving up an attempt always counted as Executed.MAYBE, and withdrawing told nothing. A queued booking that was withdrawn also stayed among the ids already received, so a second attempt would have been refused as "seen". Change: withdrawing an attempt returns whether it may have run: NEVER for one that was still queued here or had not been sent to its peer. A call in another node's queue stays MAYBE: that node refuses it itself before its deadline. Attempts are withdrawn before the answer is chosen, in place of after it; the policy module gets the same events. Measured: two new tests failed before (504 where 503 is due; "seen" for a withdrawn booking) and pass now.

--- a/bench/change_cost.py
+++ b/bench/change_cost.py
@@ -21,6 +21,7 @@
 
 from leadrudder.bootstrap.settings import parse_settings
 from leadrudder.data_plane.admission_control import AdmissionController
+from leadrudder.data_plane.inbound import no_withdrawal
 from leadrudder.data_plane.mesh_state import MeshState
 from leadrudder.observability.invariants import Invariants
 from leadrudder.protocol import mesh_pb2 as wire
@@ -58,7 +59,7 @@
         settings,
         AdmissionController(settings.bounds),
         Invariants(print),
-        carry=lambda *ignored: lambda client_left: None,
+        carry=lambda *ignored: no_withdrawal,
         on_applied=lambda: None,
         subscribe=lambda services: None,
         session_established=lambda: True,
--- a/leadrudder/data_plane/admission_control.py
+++ b/leadrudder/data_plane/admission_control.py
@@ -304,7 +304,8 @@
 
     def withdraw(self, queued: QueuedCall) -> None:
         """Drop a queued call whose origin no longer waits."""
-        self._queue.discard(queued)
+        if self._queue.discard(queued):
+            self._forget_id(queued.forward_request)
 
     def process_queue(self, now: float) -> float | None:
         """Start or refuse queued calls; returns when to call this again, None if the queue is empty."""
--- a/leadrudder/data_plane/admission_queue.py
+++ b/leadrudder/data_plane/admission_queue.py
@@ -61,10 +61,12 @@
         insort(self._calls, queued)
         return queued
 
-    def discard(self, queued: QueuedCall) -> None:
-        """Remove a call if it is still queued."""
-        if queued in self._calls:
-            self._calls.remove(queued)
+    def discard(self, queued: QueuedCall) -> bool:
+        """Remove a call; returns whether it was still queued."""
+        if queued not in self._calls:
+            return False
+        self._calls.remove(queued)
+        return True
 
     def last(self) -> QueuedCall | None:
         """The call that would be served last; None if the queue is empty."""
--- a/leadrudder/data_plane/inbound.py
+++ b/leadrudder/data_plane/inbound.py
@@ -35,11 +35,13 @@
 )
 
 Deliver = Callable[[ForwardResponse], None]
-Withdraw = Callable[[bool], None]  # argument: whether the client has disconnected
+# Gives up a call; the argument: whether the client has disconnected.  NEVER: it had not started.
+Withdraw = Callable[[bool], Executed]
 
 
-def no_withdrawal(client_left: bool) -> None:
+def no_withdrawal(client_left: bool) -> Executed:
     """Does nothing: the call has been answered already."""
+    return Executed.MAYBE
 
 
 def forwarded_headers(message: BufferedHttpMessage, excluded: frozenset[bytes] = frozenset()) -> bytes:
@@ -96,11 +98,14 @@
             nonlocal call
             call = self._run(forward_request, deliver)
 
-        def withdraw(client_left: bool) -> None:
-            if queued is not None:
-                self.admission.withdraw(queued)
-            if call is not None and client_left and not forward_request.once:
+        def withdraw(client_left: bool) -> Executed:
+            if call is None:
+                if queued is not None:
+                    self.admission.withdraw(queued)
+                return Executed.NEVER
+            if client_left and not forward_request.once:
                 call.cancel(Outcome.CANCELLED)
+            return Executed.MAYBE
 
         if self._is_drained(forward_request):
             refuse(RequestFailure(Executed.NEVER, "lent"))
--- a/leadrudder/data_plane/load_balancer.py
+++ b/leadrudder/data_plane/load_balancer.py
@@ -16,6 +16,7 @@
 from leadrudder import interface as api
 from leadrudder.configuration.items import Route
 from leadrudder.data_plane.candidates import Candidates, Distance
+from leadrudder.data_plane.inbound import Withdraw, no_withdrawal
 from leadrudder.data_plane.retry_budget import RetryBudget
 from leadrudder.interface import Effect, Outcome, ServerId
 from leadrudder.policy.decide import Balancer
@@ -62,7 +63,7 @@
     done: bool = False
     arrivals: int = 0  # attempts that reached a server or may have
     attempts_sent: int = 0
-    in_flight: dict[int, Callable[[bool], None]] = field(default_factory=dict)  # withdraws each
+    in_flight: dict[int, Withdraw] = field(default_factory=dict)
     verdicts: list[RequestFailure] = field(default_factory=list)
     error_reply: ServerResponse | None = None  # a server's answer other than a success
 
@@ -72,9 +73,16 @@
             self.on_answer(result)
 
 
-SendAttempt = Callable[
-    [ProxiedRequest, Route, str, bool, bool, Callable[[ForwardResponse], None]], Callable[[bool], None]
-]
+SendAttempt = Callable[[ProxiedRequest, Route, str, bool, bool, Callable[[ForwardResponse], None]], Withdraw]
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawnAttempt:
+    """An attempt that this node has given up, for the policy module."""
+
+    attempt: int
+    server: ServerId
+    elapsed_ms: float
 
 
 class LoadBalancer:
@@ -161,21 +169,22 @@
         if number not in self._client_requests or client_request.done:
             return
         del self._client_requests[number]
-        self._handle_event(
-            api.RequestGone(number)
-        )  # first: the cancelled attempts must not count against servers
+        withdrawn = self._withdraw_all(number, client_request, "withdrawn", client_left=True)
+        # First, as the cancelled attempts must not count against servers.
+        self._handle_event(api.RequestGone(number))
         self._finish(client_request, "client left")
-        for attempt in list(client_request.in_flight):
-            self._give_up_attempt(number, client_request, attempt, Outcome.CANCELLED, client_left=True)
+        for each in withdrawn:
+            self._report_withdrawn(number, client_request, each, Outcome.CANCELLED)
 
     def _on_deadline(self, number: int, client_request: ProxiedRequest) -> None:
         """The deadline has passed: attempts in flight count as timed out after the time they took."""
         if number not in self._client_requests:
             return
+        withdrawn = self._withdraw_all(number, client_request, "time", client_left=False)
         if not client_request.done:
             self._finish(client_request, "time")
-        for attempt in list(client_request.in_flight):
-            self._give_up_attempt(number, client_request, attempt, Outcome.TIMEOUT)
+        for each in withdrawn:
+            self._report_withdrawn(number, client_request, each, Outcome.TIMEOUT)
         self._client_requests.pop(number, None)
         self._handle_event(api.RequestGone(number))
 
@@ -220,9 +229,7 @@
         elif isinstance(action, api.Cancel):
             client_request = self._client_requests.get(action.request)
             if client_request is not None and action.attempt in client_request.in_flight:
-                self._loop.call_soon(
-                    self._give_up_attempt, action.request, client_request, action.attempt, Outcome.CANCELLED
-                )
+                self._loop.call_soon(self._cancel_attempt, action.request, client_request, action.attempt)
         elif isinstance(action, api.Log):
             self._log(f"{self.route.name}: {action.text}")
 
@@ -246,7 +253,7 @@
         started_at = self._loop.time()
         wait_from_attempt = min(len(self._current_servers) - 1, ATTEMPTS_BEFORE_WAITING)
         server = action.server.decode()
-        client_request.in_flight[attempt] = lambda client_left: None
+        client_request.in_flight[attempt] = no_withdrawal
         ended_early = False
 
         def delivered(response: ForwardResponse) -> None:
@@ -267,28 +274,48 @@
         self._handle_event(api.AttemptEnded(number, attempt, server, Outcome.MOOT, 0.0, client_request.done))
         self._remove_if_finished(number, client_request)
 
-    def _give_up_attempt(
-        self,
-        number: int,
-        client_request: ProxiedRequest,
-        attempt: int,
-        outcome: Outcome,
-        *,
-        client_left: bool = False,
-    ) -> None:
-        """Stop waiting for an attempt in flight and withdraw it."""
+    def _cancel_attempt(self, number: int, client_request: ProxiedRequest, attempt: int) -> None:
+        withdrawn = self._withdraw_attempt(number, client_request, attempt, "withdrawn", client_left=False)
+        if withdrawn is not None:
+            self._report_withdrawn(number, client_request, withdrawn, Outcome.CANCELLED)
+
+    def _withdraw_all(
+        self, number: int, client_request: ProxiedRequest, why: str, *, client_left: bool
+    ) -> list[WithdrawnAttempt]:
+        """Withdraw all attempts in flight; each must then be reported to the policy module."""
+        withdrawn = [
+            self._withdraw_attempt(number, client_request, attempt, why, client_left=client_left)
+            for attempt in list(client_request.in_flight)
+        ]
+        return [each for each in withdrawn if each is not None]
+
+    def _withdraw_attempt(
+        self, number: int, client_request: ProxiedRequest, attempt: int, why: str, *, client_left: bool
+    ) -> WithdrawnAttempt | None:
+        """Stop waiting for an attempt, and note whether it may have run; None if it is not in flight."""
         found = self._attempts_in_flight.pop((number, attempt), None)
         if found is None or attempt not in client_request.in_flight:
-            return
-        client_request.in_flight.pop(attempt)(client_left)
-        client_request.verdicts.append(
-            RequestFailure(Executed.MAYBE, "time" if outcome is Outcome.TIMEOUT else "withdrawn")
-        )
-        client_request.arrivals += 1
+            return None
+        executed = client_request.in_flight.pop(attempt)(client_left)
+        client_request.verdicts.append(RequestFailure(executed, why))
+        if executed is not Executed.NEVER:
+            client_request.arrivals += 1
         server, started_at = found
-        elapsed_ms = 1000.0 * (self._loop.time() - started_at)
+        return WithdrawnAttempt(attempt, server, 1000.0 * (self._loop.time() - started_at))
+
+    def _report_withdrawn(
+        self, number: int, client_request: ProxiedRequest, withdrawn: WithdrawnAttempt, outcome: Outcome
+    ) -> None:
+        """Tell the policy module that an attempt has been withdrawn."""
         self._handle_event(
-            api.AttemptEnded(number, attempt, server, outcome, elapsed_ms, client_request.done)
+            api.AttemptEnded(
+                number,
+                withdrawn.attempt,
+                withdrawn.server,
+                outcome,
+                withdrawn.elapsed_ms,
+                client_request.done,
+            )
         )
         self._remove_if_finished(number, client_request)
 
--- a/leadrudder/data_plane/peer_links.py
+++ b/leadrudder/data_plane/peer_links.py
@@ -50,12 +50,14 @@
         self._in_flight[forward_request.number] = deliver
         link.start_liveness_checks()
 
-    def _withdraw(self, number: int, client_left: bool) -> None:
+    def _withdraw(self, number: int, client_left: bool) -> Executed:
+        still_unsent = [(queued, deliver) for queued, deliver in self._unsent if queued.number != number]
+        if len(still_unsent) < len(self._unsent):
+            self._unsent = still_unsent
+            return Executed.NEVER
         if self._in_flight.pop(number, None) is not None and self._link is not None:
             self._link.send(Frame(withdrawal=CancelRequest(number=number, client_left=client_left)))
-        self._unsent = [
-            (queued, on_response) for queued, on_response in self._unsent if queued.number != number
-        ]
+        return Executed.MAYBE
 
     async def _dial(self) -> None:
         link = await dial(
--- a/tests/mesh/test_admission_control.py
+++ b/tests/mesh/test_admission_control.py
@@ -6,6 +6,7 @@
 
 from leadrudder.bootstrap.settings import RuleBounds
 from leadrudder.data_plane.admission_control import AdmissionController, ServerInstance
+from leadrudder.data_plane.admission_queue import QueuedCall
 from leadrudder.data_plane.retry_budget import RetryBudget
 from leadrudder.data_plane.service_times import MAX_KINDS, ServiceTimes
 from leadrudder.protocol.mesh_pb2 import ForwardRequest
@@ -19,10 +20,10 @@
         self.started: list[int] = []
         self.refused: list[RequestFailure] = []
 
-    def offer_call(self, now: float, **fields: object) -> None:
+    def offer_call(self, now: float, **fields: object) -> QueuedCall | None:
         request_fields = {"server": "i-1", "left_ms": 1000.0, "may_wait": True, "priority": 1, **fields}
         number = len(self.started) + len(self.refused) + 100
-        self.admission.admit(
+        return self.admission.admit(
             ForwardRequest(**request_fields),  # type: ignore[arg-type]
             now,
             lambda: self.started.append(number),
@@ -77,6 +78,15 @@
         self.offer_call(0.1, once=True, attempt_id=b"a")
         self.assertEqual((len(self.started), self.refusal_reasons()), (1, ["full"]))
 
+    def test_a_withdrawn_unsafe_request_may_be_sent_again(self) -> None:
+        self.admission.running_calls = 2
+        queued = self.offer_call(0.0, once=True, attempt_id=b"a")
+        assert queued is not None
+        self.admission.withdraw(queued)
+        self.admission.running_calls = 0
+        self.offer_call(0.1, once=True, attempt_id=b"a")
+        self.assertEqual((len(self.started), self.refusal_reasons()), (1, []))
+
     def test_a_full_server_serves_the_queue_by_rank(self) -> None:
         self.admission.running_calls = 2
         self.offer_call(0.0, priority=3)
--- a/tests/mesh/test_load_balancer.py
+++ b/tests/mesh/test_load_balancer.py
@@ -43,6 +43,7 @@
         self.calls: list[tuple[str, bool, Callable[[ForwardResponse], None]]] = []
         self.answers: list[ServerResponse | RequestFailure] = []
         self.withdrawn: list[tuple[str, bool]] = []  # servers, and whether because the client had left
+        self.executed_when_withdrawn = Executed.MAYBE
         route = Route("r", "h", "/", once, 1000.0, 250.0, 1, (("s", 1.0),), 2, 1)
         with mock.patch("asyncio.get_running_loop", return_value=self.clock):
             self.load_balancer = LoadBalancer(
@@ -58,9 +59,14 @@
         may_wait: bool,
         is_repeat: bool,
         deliver: Callable[[ForwardResponse], None],
-    ) -> Callable[[bool], None]:
+    ) -> Callable[[bool], Executed]:
         self.calls.append((server, may_wait, deliver))
-        return lambda client_left: self.withdrawn.append((server, client_left))
+
+        def withdraw(client_left: bool) -> Executed:
+            self.withdrawn.append((server, client_left))
+            return self.executed_when_withdrawn
+
+        return withdraw
 
     def send_request(self) -> Callable[[], None]:
         client_request = ProxiedRequest(
@@ -218,6 +224,25 @@
         self.assertEqual(len(self.calls), 1)
         self.assertEqual(len(self.answers), 1)
 
+    def expire(self) -> RequestFailure:
+        """The deadline passes with one attempt in flight; returns the answer."""
+        self.send_request()
+        self.clock.now += 1.0
+        (number,) = self.load_balancer._client_requests
+        self.load_balancer._on_deadline(number, self.load_balancer._client_requests[number])
+        (verdict,) = self.answers
+        assert isinstance(verdict, RequestFailure)
+        return verdict
+
+    def test_an_expired_request_whose_attempt_had_not_started_has_not_run(self) -> None:
+        self.set_up(once=True)
+        self.executed_when_withdrawn = Executed.NEVER
+        self.assertEqual(self.expire().status(), 503)
+
+    def test_an_expired_request_whose_attempt_may_be_running_is_in_doubt(self) -> None:
+        self.set_up(once=True)
+        self.assertEqual(self.expire().status(), 504)
+
     def test_an_error_reply_of_a_server_is_forwarded(self) -> None:
         self.set_up(once=True)
         self.send_request()
