A node that shuts down tells its peers when, and refuses in time what has not run

Cause: a request that was read before the signal keeps its own deadline, 12 s here, and nothing tells the queue in which it waits that its node ends sooner. The queue belongs to another node, which refuses calls by their deadlines alone. Evidence: metrics read every 0.25 s during the case, on the code as it was: at the stopped node requests_open is 22, at the node beside the server calls_running is 9 and calls_waiting 13, then 4, until the connections are cut; then calls_waiting is 0. So they waited at the other node (not in the policy module, not for a link, not as unsent answers), and that node dropped them itself, a moment after it could have refused them. Change: a new frame, StopNotice, says how long the calls of a link have left. A queued call is refused, as never run, once it could not end by then by the expected service time and half of that again; one that starts gets no more time than that; new calls of that origin the same. What waits at the stopping node itself (for a server or a link) is refused in the last 0.2 s, in which no connection is accepted. Why it works: each request that is read has an owner that can make sure it never runs, and all of these now answer before the connections are closed.

--- a/leadrudder/data_plane/admission_control.py
+++ b/leadrudder/data_plane/admission_control.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from leadrudder.bootstrap.settings import RuleBounds
-from leadrudder.data_plane.admission_queue import AdmissionQueue, QueuedCall, Rank
+from leadrudder.data_plane.admission_queue import AdmissionQueue, CallOrigin, QueuedCall, Rank
 from leadrudder.data_plane.service_times import ArrivalRate, ServiceTimes
 from leadrudder.protocol.mesh_pb2 import ForwardRequest
 from leadrudder.protocol.outcome import Executed, RequestFailure
@@ -29,8 +29,12 @@
 MIN_CAPACITY_FOR_RESERVE = 4  # slots from which on one is reserved for short calls
 RESERVE_THRESHOLD_CALLS = 0.5  # short calls arriving per long call, above which it is reserved
 MIN_REMAINING_FRACTION = 0.5  # of the expected service time; a call with less time left is refused
+# Of the expected service time, until the origin of a call stops. It is cut off if it takes longer, and then
+# may have run; refused now, it can be sent again elsewhere.
+STOPPING_ORIGIN_FRACTION = 1.5
 DOWN_PAUSE_S = 0.4
 MIN_REMAINING_MS = 5.0
+LASTING_ORIGIN = CallOrigin()  # of calls of this node, and of nodes that have not announced a shutdown
 
 
 @dataclass(slots=True)
@@ -132,9 +136,10 @@
         now: float,
         start: Callable[[], None],
         refuse: Callable[[RequestFailure], None],
+        origin: CallOrigin = LASTING_ORIGIN,
     ) -> QueuedCall | None:
         """Start a call, refuse it, or queue it; returns the queued call."""
-        verdict = self._refusal(forward_request, now)
+        verdict = self._refusal(forward_request, origin, now)
         if verdict is not None:
             refuse(verdict)
             return None
@@ -164,7 +169,7 @@
         )
         expires_at = now + (forward_request.left_ms - min_remaining_ms) / 1000.0
         return self._queue.push(
-            rank, forward_request, expires_at=expires_at, queued_at=now, start=start, refuse=refuse
+            rank, forward_request, origin, expires_at=expires_at, queued_at=now, start=start, refuse=refuse
         )
 
     def _has_free_slot(self, forward_request: ForwardRequest, now: float) -> bool:
@@ -215,7 +220,9 @@
         if forward_request.once:
             self._seen_ids.pop(forward_request.attempt_id, None)
 
-    def _refusal(self, forward_request: ForwardRequest, now: float) -> RequestFailure | None:
+    def _refusal(
+        self, forward_request: ForwardRequest, origin: CallOrigin, now: float
+    ) -> RequestFailure | None:
         instance = self.instance
         if instance is None or instance.id != forward_request.server:
             return RequestFailure(Executed.NEVER, "gone")
@@ -231,8 +238,15 @@
                 return RequestFailure(Executed.NEVER, "draining")
         if forward_request.left_ms <= MIN_REMAINING_MS:
             return RequestFailure(Executed.NEVER, "time")
+        if now >= self._latest_start(forward_request, origin):
+            return RequestFailure(Executed.NEVER, "caller stopping")
         return None
 
+    def _latest_start(self, forward_request: ForwardRequest, origin: CallOrigin) -> float:
+        """When a call must have started to end before its origin stops; infinite while that keeps running."""
+        expected_ms = self._service_times.expected_ms(forward_request.target_ms)
+        return origin.stops_at - STOPPING_ORIGIN_FRACTION * expected_ms / 1000.0
+
     def _make_room_in_queue(self, rank: Rank) -> bool:
         """Whether a call of this rank may be queued; a full queue drops its last call if that ranks lower."""
         assert self.instance is not None
@@ -314,9 +328,20 @@
             if self._is_rate_limited(now):
                 break
             self._queue.discard(queued)
-            queued.forward_request.left_ms -= 1000.0 * (now - queued.queued_at)
+            left_ms = queued.forward_request.left_ms - 1000.0 * (now - queued.queued_at)
+            queued.forward_request.left_ms = min(left_ms, 1000.0 * (queued.origin.stops_at - now))
             self._start_call(queued.start, now)
-        next_check_at = self._queue.next_expiry()
+        return self._next_check_at(now)
+
+    def _next_check_at(self, now: float) -> float | None:
+        """When a queued call must be refused or may be started next; None if the queue is empty."""
+        next_check_at = min(
+            (
+                min(each.expires_at, self._latest_start(each.forward_request, each.origin))
+                for each in self._queue
+            ),
+            default=None,
+        )
         if next_check_at is not None and self.instance is not None and now < self.instance.cold_until:
             next_check_at = min(next_check_at, now + 1.0 / self._cold_rate_per_s())
         return next_check_at
@@ -333,7 +358,7 @@
             verdict = (
                 RequestFailure(Executed.NEVER, "time")
                 if now >= queued.expires_at
-                else self._refusal(queued.forward_request, now)
+                else self._refusal(queued.forward_request, queued.origin, now)
             )
             if verdict is not None:
                 self._queue.discard(queued)
--- a/leadrudder/data_plane/admission_queue.py
+++ b/leadrudder/data_plane/admission_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from bisect import insort
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -20,6 +21,13 @@
     due: float  # seconds: when its target is reached; if late, when its deadline is
 
 
+@dataclass(slots=True, eq=False)
+class CallOrigin:
+    """The node that sent a call.  stops_at: when its process stops; its calls must have ended by then."""
+
+    stops_at: float = math.inf  # seconds on this node's clock
+
+
 @dataclass(order=True, slots=True)
 class QueuedCall:
     """A queued call.  expires_at: when it is refused if it has not started; times in seconds."""
@@ -27,6 +35,7 @@
     rank: Rank
     sequence: int
     forward_request: ForwardRequest = field(compare=False)
+    origin: CallOrigin = field(compare=False)
     expires_at: float = field(compare=False)
     queued_at: float = field(compare=False)
     start: Callable[[], None] = field(compare=False)
@@ -51,13 +60,16 @@
         self,
         rank: Rank,
         forward_request: ForwardRequest,
+        origin: CallOrigin,
         *,
         expires_at: float,
         queued_at: float,
         start: Callable[[], None],
         refuse: Callable[[RequestFailure], None],
     ) -> QueuedCall:
-        queued = QueuedCall(rank, next(self._numbers), forward_request, expires_at, queued_at, start, refuse)
+        queued = QueuedCall(
+            rank, next(self._numbers), forward_request, origin, expires_at, queued_at, start, refuse
+        )
         insort(self._calls, queued)
         return queued
 
@@ -75,7 +87,3 @@
     def count_ahead(self, rank: Rank) -> int:
         """Number of calls that would be served before a new one of this rank."""
         return sum(1 for queued in self._calls if queued.rank <= rank)
-
-    def next_expiry(self) -> float | None:
-        """The earliest expiry of a queued call; None if the queue is empty."""
-        return min((queued.expires_at for queued in self._calls), default=None)
--- a/leadrudder/data_plane/inbound.py
+++ b/leadrudder/data_plane/inbound.py
@@ -5,7 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
-from leadrudder.data_plane.admission_control import AdmissionController
+from leadrudder.data_plane.admission_control import LASTING_ORIGIN, AdmissionController
+from leadrudder.data_plane.admission_queue import CallOrigin
 from leadrudder.data_plane.server_connections import (
     NOT_RUN_HEADER,
     SERVER_SEAL_HEADER,
@@ -76,7 +77,9 @@
         self._loop = asyncio.get_running_loop()
         self._queue_timer: asyncio.TimerHandle | None = None
 
-    def handle(self, forward_request: ForwardRequest, deliver: Deliver) -> Withdraw:
+    def handle(
+        self, forward_request: ForwardRequest, deliver: Deliver, origin: CallOrigin = LASTING_ORIGIN
+    ) -> Withdraw:
         """Admit a call; returns a function that withdraws it.
 
         A queued call is dropped. A running call is cancelled only if the client has disconnected and the
@@ -110,7 +113,7 @@
         if self._is_drained(forward_request):
             refuse(RequestFailure(Executed.NEVER, "lent"))
             return no_withdrawal
-        queued = self.admission.admit(forward_request, self._loop.time(), start, refuse)
+        queued = self.admission.admit(forward_request, self._loop.time(), start, refuse, origin)
         if queued is not None:
             self._process_queue()
         return withdraw
--- /dev/null
+++ b/leadrudder/data_plane/incoming_calls.py
@@ -0,0 +1,89 @@
+"""Calls from other data-plane nodes: one response to each, over the link that it came from."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from leadrudder.data_plane.admission_queue import CallOrigin
+from leadrudder.data_plane.endpoint_discovery import EndpointDiscovery
+from leadrudder.data_plane.inbound import InboundProxy, Withdraw, no_withdrawal
+from leadrudder.observability.loop_lag import OVERLOAD_LAG_S, LoopLag
+from leadrudder.protocol.mesh_pb2 import ForwardRequest, ForwardResponse, Frame, StopNotice
+from leadrudder.protocol.outcome import Executed
+from leadrudder.transport.link import IDLE_ACCEPTOR_PING_INTERVAL_S, PING_INTERVAL_S, Link
+
+REFUSED_OVERLOADED = "behind"  # refusal reason: this process is overloaded
+
+
+@dataclass(slots=True)
+class OpenCalls:
+    """The calls of one link that have no response yet, by their number on the link."""
+
+    origin: CallOrigin = field(default_factory=CallOrigin)
+    withdrawals: dict[int, Withdraw] = field(default_factory=dict)
+
+
+class IncomingCalls:
+    """Handles the links that other data-plane nodes dial.  lag: the delay of the event loop."""
+
+    def __init__(self, inbound: InboundProxy, discovery: EndpointDiscovery, lag: LoopLag) -> None:
+        self.calls_shed = 0  # refused because this process was overloaded, since it started
+        self._inbound, self._discovery, self._lag = inbound, discovery, lag
+        self._open_calls: dict[Link, OpenCalls] = {}
+        self._loop = asyncio.get_running_loop()
+
+    def on_up(self, link: Link) -> None:
+        self._open_calls[link] = OpenCalls()
+        link.ping_interval_s = IDLE_ACCEPTOR_PING_INTERVAL_S
+
+    def on_down(self, link: Link) -> None:
+        """The origin is gone: its queued calls are dropped."""
+        self._discovery.unsubscribe(link)
+        open_calls = self._open_calls.pop(link, None)
+        if open_calls is not None:
+            for withdraw in open_calls.withdrawals.values():
+                withdraw(False)
+
+    def on_frame(self, link: Link, frame: Frame) -> None:
+        open_calls = self._open_calls.get(link)
+        if open_calls is None:
+            return
+        kind = frame.WhichOneof("body")
+        if kind == "waybill":
+            self._on_call(link, open_calls, frame.waybill)
+        elif kind == "subscribe":
+            link.ping_interval_s = PING_INTERVAL_S
+            self._discovery.subscribe(link, frozenset(frame.subscribe.services))
+        elif kind == "withdrawal":
+            withdraw = open_calls.withdrawals.pop(frame.withdrawal.number, no_withdrawal)
+            withdraw(frame.withdrawal.client_left)
+        elif kind == "stopping":
+            self._on_origin_stopping(open_calls.origin, frame.stopping)
+
+    def _on_call(self, link: Link, open_calls: OpenCalls, forward_request: ForwardRequest) -> None:
+        number, withdrawals = forward_request.number, open_calls.withdrawals
+
+        def deliver(response: ForwardResponse) -> None:
+            withdrawals.pop(number, None)
+            if not withdrawals and not self._discovery.has_subscriber(link):
+                link.ping_interval_s = IDLE_ACCEPTOR_PING_INTERVAL_S
+            response.number = number
+            link.send(Frame(delivery=response))
+
+        late_s = self._lag.seconds()
+        if late_s > OVERLOAD_LAG_S:
+            self.calls_shed += 1
+            deliver(ForwardResponse(ran=Executed.NEVER, why=REFUSED_OVERLOADED, retry_ms=1000.0 * late_s))
+            return
+        forward_request.left_ms -= 1000.0 * late_s  # time already spent waiting for the event loop
+        withdrawals[number] = no_withdrawal
+        link.ping_interval_s = PING_INTERVAL_S  # the caller waits for a response and checks liveness
+        withdraw = self._inbound.handle(forward_request, deliver, open_calls.origin)
+        if number in withdrawals:
+            withdrawals[number] = withdraw
+
+    def _on_origin_stopping(self, origin: CallOrigin, notice: StopNotice) -> None:
+        """Queued calls of a node that shuts down are refused while it can still answer its clients."""
+        origin.stops_at = self._loop.time() - self._lag.seconds() + notice.left_ms / 1000.0
+        self._inbound.process_queue()
--- a/leadrudder/data_plane/load_balancer.py
+++ b/leadrudder/data_plane/load_balancer.py
@@ -46,7 +46,11 @@
         """The limit does not change."""
 
 
-@dataclass(slots=True)
+def nothing_to_refuse() -> None:
+    """Does nothing: the request has not been submitted."""
+
+
+@dataclass(slots=True, eq=False)
 class ProxiedRequest:
     """A client's request; it gets exactly one answer."""
 
@@ -66,6 +70,7 @@
     in_flight: dict[int, Withdraw] = field(default_factory=dict)
     verdicts: list[RequestFailure] = field(default_factory=list)
     error_reply: ServerResponse | None = None  # a server's answer other than a success
+    refuse_if_waiting: Callable[[], None] = nothing_to_refuse  # ends it unless an attempt is in flight
 
     def answer(self, result: ServerResponse | RequestFailure) -> None:
         if not self.done:
@@ -159,6 +164,7 @@
         self._retry_budget.deposit()
         number = self._last_number
         self._client_requests[number] = client_request
+        client_request.refuse_if_waiting = lambda: self._refuse_if_waiting(number, client_request)
         left_s = client_request.deadline - self._loop.time()
         self._loop.call_later(max(0.0, left_s), self._on_deadline, number, client_request)
         self._handle_event(api.Arrival(number, 0, max(1.0, 1000.0 * left_s)))
@@ -176,6 +182,14 @@
         for each in withdrawn:
             self._report_withdrawn(number, client_request, each, Outcome.CANCELLED)
 
+    def _refuse_if_waiting(self, number: int, client_request: ProxiedRequest) -> None:
+        """This node stops: end a request of which no attempt is in flight."""
+        if number not in self._client_requests or client_request.done or client_request.in_flight:
+            return
+        del self._client_requests[number]
+        self._handle_event(api.RequestGone(number))
+        self._finish(client_request, "stopping")
+
     def _on_deadline(self, number: int, client_request: ProxiedRequest) -> None:
         """The deadline has passed: attempts in flight count as timed out after the time they took."""
         if number not in self._client_requests:
--- a/leadrudder/data_plane/outbound.py
+++ b/leadrudder/data_plane/outbound.py
@@ -15,6 +15,7 @@
 from leadrudder.data_plane.client_patience import ClientPatience
 from leadrudder.data_plane.inbound import forwarded_headers
 from leadrudder.data_plane.load_balancer import MIN_RETRY_AFTER_MS, ProxiedRequest
+from leadrudder.data_plane.shutdown import ShutdownSchedule
 from leadrudder.node.http import HttpMessage, HttpMessageError
 from leadrudder.observability.loop_lag import OVERLOAD_LAG_S
 from leadrudder.protocol.outcome import RequestFailure, ServerResponse
@@ -216,19 +217,24 @@
         self._held_bytes_total = 0  # including the bodies of open requests
         self.limits = limits
         self.clients: dict[ClientConnection, None] = {}
-        self.closing = False  # each connection is closed with its next answer
+        self.closing = False  # the last answer of each connection closes it
         # After this time only requests whose deadline is before answers_due_by are accepted.
         self.unrestricted_until = math.inf
         self.answers_due_by = math.inf  # when the last answer must have been written
         self.has_configuration = False  # until then a missing route is answered by 503, not by 404
         self.last_request_at = 0.0
-        self.open_requests = 0  # not yet answered
+        self._open_requests: dict[ProxiedRequest, None] = {}  # not yet answered, oldest first
         self._calling_service_header = b"Calling-Service: %s\r\n" % service.encode("latin-1", "replace")
         self._find_route, self._submit, self._has_room = find_route, submit, has_room
         self._loop = asyncio.get_running_loop()
         self._server: asyncio.Server | None = None
         self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
+    @property
+    def open_requests(self) -> int:
+        """The number of requests that have no answer yet."""
+        return len(self._open_requests)
+
     def now(self) -> float:
         return self._loop.time()
 
@@ -253,9 +259,28 @@
     def busy(self) -> bool:
         return self.open_requests > 0 or any(client.busy() for client in self.clients)
 
-    def close(self) -> None:
+    def begin_shutdown(self, schedule: ShutdownSchedule) -> None:
+        """Close each connection with its next answer, and refuse requests that could not end in time.
+
+        Idle connections stay open: a request may be on its way on any of them.
+        """
+        self.closing = True
+        self.unrestricted_until, self.answers_due_by = schedule.unrestricted_until, schedule.answers_due_by
+
+    def refuse_waiting(self) -> None:
+        """Answer the open requests of which no attempt is in flight."""
+        for client_request in list(self._open_requests):
+            client_request.refuse_if_waiting()
+
+    def stop_accepting(self) -> None:
+        """Accept no further connection, and refuse every request on the open ones."""
         if self._server is not None:
             self._server.close()
+        self.unrestricted_until = self.answers_due_by = -math.inf
+
+    def close(self) -> None:
+        """Close all connections at once."""
+        self.stop_accepting()
         for client in list(self.clients):
             client.force_close()
 
@@ -303,11 +328,10 @@
             body_bytes > SMALL_BODY_BYTES and self._held_bytes_total + body_bytes > self._max_held_bytes
         ):
             return self._answer_status(write, 503, RETRY_AFTER_HEADER)
-        self.open_requests += 1
         self._held_bytes_total += body_bytes
 
         def answered(result: ServerResponse | RequestFailure) -> None:
-            self.open_requests -= 1
+            self._open_requests.pop(client_request, None)
             self._held_bytes_total -= body_bytes
             write(lambda close: _render_result(result, attempt_id, close))
 
@@ -321,6 +345,7 @@
             on_answer=answered,
             waited_ms=waited_ms,
         )
+        self._open_requests[client_request] = None
         return self._submit(route, client_request)
 
     @staticmethod
--- a/leadrudder/data_plane/peer_links.py
+++ b/leadrudder/data_plane/peer_links.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from leadrudder.data_plane.inbound import Withdraw
-from leadrudder.protocol.mesh_pb2 import CancelRequest, ForwardRequest, ForwardResponse, Frame
+from leadrudder.protocol.mesh_pb2 import CancelRequest, ForwardRequest, ForwardResponse, Frame, StopNotice
 from leadrudder.protocol.outcome import Executed
 from leadrudder.transport.link import IDLE_DIALER_PING_INTERVAL_S, Link, dial
 
@@ -29,6 +29,7 @@
         self._unsent: list[tuple[ForwardRequest, Deliver]] = []
         self._in_flight: dict[int, Deliver] = {}
         self._last_number = 0
+        self._stops_at: float | None = None  # when this process ends, once that is known
 
     def send(self, forward_request: ForwardRequest, deliver: Deliver) -> Withdraw:
         """deliver is called once, also if the link fails; returns a function to withdraw the request."""
@@ -59,17 +60,24 @@
             self._link.send(Frame(withdrawal=CancelRequest(number=number, client_left=client_left)))
         return Executed.MAYBE
 
+    def announce_stop(self, stops_at: float) -> None:
+        """Tell the peer when this process ends (loop time), on the present link and on later ones."""
+        self._stops_at = stops_at
+        if self._link is not None:
+            left_ms = 1000.0 * (stops_at - self._loop.time())
+            self._link.send(Frame(stopping=StopNotice(left_ms=left_ms)))
+
     async def _dial(self) -> None:
         link = await dial(
             self.address, lambda: Link(self, PING_INTERVAL_S, SILENCE_TIMEOUT_S, peer=self.address)
         )
         self._dial_task = None
+        if link is None or not link.up:
+            self.fail_unsent()
+            return
         unsent, self._unsent = self._unsent, []
         for forward_request, deliver in unsent:
-            if link is not None and link.up:
-                self._write(link, forward_request, deliver)
-            else:
-                deliver(ForwardResponse(number=forward_request.number, ran=Executed.NEVER, why="unreachable"))
+            self._write(link, forward_request, deliver)
 
     def on_up(self, link: Link) -> None:
         link.checks_liveness, link.ping_interval_s = (
@@ -77,6 +85,8 @@
             IDLE_DIALER_PING_INTERVAL_S,
         )  # the peer does not wait for this node
         self._link = link
+        if self._stops_at is not None:
+            self.announce_stop(self._stops_at)
 
     def on_frame(self, link: Link, frame: Frame) -> None:
         if frame.WhichOneof("body") != "delivery":
@@ -94,6 +104,12 @@
             for number, deliver in in_flight.items():
                 deliver(ForwardResponse(number=number, ran=Executed.MAYBE, why="link"))
 
+    def fail_unsent(self) -> None:
+        """End the calls that wait for the link to come up: they have not been sent."""
+        unsent, self._unsent = self._unsent, []
+        for forward_request, deliver in unsent:
+            deliver(ForwardResponse(number=forward_request.number, ran=Executed.NEVER, why="unreachable"))
+
     def is_idle(self, now: float) -> bool:
         return not self._in_flight and not self._unsent and now - self.last_used > IDLE_TIMEOUT_S
 
@@ -107,14 +123,28 @@
 
     def __init__(self) -> None:
         self._links: dict[str, PeerLink] = {}
+        self._stops_at: float | None = None
         self._loop = asyncio.get_running_loop()
 
     def send(self, address: str, forward_request: ForwardRequest, deliver: Deliver) -> Withdraw:
         peer_link = self._links.get(address)
         if peer_link is None:
             peer_link = self._links[address] = PeerLink(address)
+            if self._stops_at is not None:
+                peer_link.announce_stop(self._stops_at)
         return peer_link.send(forward_request, deliver)
 
+    def announce_stop(self, stops_at: float) -> None:
+        """Tell all peers that calls of this process must have ended by stops_at (loop time)."""
+        self._stops_at = stops_at
+        for peer_link in self._links.values():
+            peer_link.announce_stop(stops_at)
+
+    def fail_unsent(self) -> None:
+        """End all calls that have not been sent to their peer yet."""
+        for peer_link in self._links.values():
+            peer_link.fail_unsent()
+
     def close_idle(self) -> None:
         """Close links that have been idle for IDLE_TIMEOUT_S."""
         now = self._loop.time()
--- a/leadrudder/data_plane/program.py
+++ b/leadrudder/data_plane/program.py
@@ -19,6 +19,7 @@
 from leadrudder.configuration.items import Route
 from leadrudder.data_plane.admission_control import AdmissionController, ServerInstance
 from leadrudder.data_plane.inbound import InboundProxy, Withdraw, no_withdrawal
+from leadrudder.data_plane.incoming_calls import IncomingCalls
 from leadrudder.data_plane.load_balancer import ProxiedRequest
 from leadrudder.data_plane.mesh_state import MeshState
 from leadrudder.data_plane.outbound import OutboundProxy
@@ -27,30 +28,26 @@
 from leadrudder.data_plane.server_api import Heartbeat, ServerApi
 from leadrudder.data_plane.server_connections import LocalServer
 from leadrudder.data_plane.session import Session
+from leadrudder.data_plane.shutdown import LAST_ANSWERS_S, ShutdownSchedule
 from leadrudder.maintenance.ledger import Ledger
 from leadrudder.membership import zone_relays
 from leadrudder.node.platform import SYSTEM, Platform
 from leadrudder.observability.invariants import Invariants
-from leadrudder.observability.loop_lag import OVERLOAD_LAG_S, LoopLag
+from leadrudder.observability.loop_lag import LoopLag
 from leadrudder.observability.metrics import Metrics
 from leadrudder.observability.traffic import TrafficCounters
 from leadrudder.protocol import mesh_pb2 as wire
-from leadrudder.protocol.mesh_pb2 import ForwardRequest, ForwardResponse, Frame
+from leadrudder.protocol.mesh_pb2 import ForwardRequest, ForwardResponse
 from leadrudder.protocol.outcome import Executed
 from leadrudder.transport.http import ApiServer
-from leadrudder.transport.link import IDLE_ACCEPTOR_PING_INTERVAL_S, PING_INTERVAL_S, Link
+from leadrudder.transport.link import Link
 
 TICK_INTERVAL_S = 0.25
 MAX_MISSED_HEARTBEATS = 3.5  # heartbeats that a server may miss before it counts as crashed
 REFUSAL_LOG_INTERVAL_S = 1.0
 BODY_MEMORY_FRACTION = 0.2  # of the memory: each body is copied about twice more while it is forwarded
 MAX_OPEN_REQUESTS = 2000
-MIN_SHUTDOWN_S = 2.4  # after SIGTERM: clients still connect until then
-IDLE_BEFORE_STOP_S = 0.3
-STOP_MARGIN_S = 0.6  # of the grace period, reserved for closing down
-REFUSED_OVERLOADED = "behind"  # refusal reason: this process is overloaded
-ANSWER_MARGIN_S = 0.2  # before closing down, by which the last responses must be written
-FIRST_HALF_MARGIN_S = 0.1  # before half of the grace period; requests accepted later must end within it
+FINAL_SWEEP_INTERVAL_S = 0.05  # while the last requests are refused during a shutdown
 
 
 class DataPlaneNode:
@@ -84,20 +81,18 @@
             carry=self._send_attempt,
             on_applied=lambda: self._inbound.process_queue(),
             subscribe=lambda services: self._session.subscribe(services),
-            session_established=lambda: self._session.established() and self._terminated_at is None,
+            session_established=lambda: self._session.established() and self._shutdown is None,
             note=self.log_buffer.record,
             rng=self._rng,
             wall=wall,
             monotonic=platform.monotonic,
             machine_drains_enabled=maintenance_windows,
         )
-        self._withdrawals: dict[Link, dict[int, Withdraw]] = {}
-        self._terminated_at: float | None = None
+        self._shutdown: ShutdownSchedule | None = None  # set by SIGTERM
         self._done = asyncio.Event()
         self.traffic = TrafficCounters()
         self._refusals: Counter[str] = Counter()  # calls without a response since the last log line
         self._refusals_logged_at = 0.0
-        self._calls_shed = 0  # calls to the local server, refused because this process was overloaded
         self._local_server = LocalServer(
             settings.application_address or (settings.ip, 0), max_connections=100, platform=platform
         )
@@ -120,6 +115,7 @@
             if maintenance_windows
             else None,
         )
+        self._incoming_calls = IncomingCalls(self._inbound, self.state.discovery, self._lag)
         self._peak_slots_used = 0  # highest number of slots of the local server in use since the last report
         self._peer_links = PeerLinks()
         self._outbound = OutboundProxy(
@@ -149,7 +145,11 @@
         self.log_buffer.log_info("starting")
         host, port = self._address.rsplit(":", 1)
         self._listener = await self._loop.create_server(
-            lambda: Link(self, silence_timeout_s=30.0), host, int(port), family=socket.AF_INET, backlog=1024
+            lambda: Link(self._incoming_calls, silence_timeout_s=30.0),
+            host,
+            int(port),
+            family=socket.AF_INET,
+            backlog=1024,
         )
         for address in {settings.control, settings.readiness} - {None}:
             assert address is not None
@@ -175,7 +175,7 @@
         metrics.add("calls_waiting", self.admission.waiting_calls)
         metrics.add("slot_seconds_total", lambda: self.admission.slot_seconds(self._loop.time()))
         metrics.add("requests_shed_total", lambda: self._outbound.requests_shed)
-        metrics.add("calls_shed_total", lambda: self._calls_shed)
+        metrics.add("calls_shed_total", lambda: self._incoming_calls.calls_shed)
         metrics.add("loop_lag_seconds", self._lag.seconds)
         metrics.add("loop_lag_highest_seconds", lambda: self._lag.highest_s)
         metrics.add("process_cpu_seconds_total", time.process_time)
@@ -184,7 +184,7 @@
 
     def ready(self) -> bool:
         """Whether clients may connect: a configuration is in force, and the process is not shutting down."""
-        return self._terminated_at is None and bool(self.state.routing.routes) and self._session.synced
+        return self._shutdown is None and bool(self.state.routing.routes) and self._session.synced
 
     # ------------------------------------------------------------ requests of local clients
 
@@ -207,6 +207,9 @@
     ) -> Withdraw:
         """Send one attempt to the data-plane node of its server."""
         now = self._loop.time()
+        ends_by = request.deadline
+        if self._shutdown is not None:
+            ends_by = min(ends_by, self._shutdown.answers_due_by)
         forward_request = ForwardRequest(
             server=server,
             method=request.method,
@@ -214,7 +217,7 @@
             fields=request.fields,
             body=request.body,
             attempt_id=request.attempt_id,
-            left_ms=1000.0 * (request.deadline - now),
+            left_ms=1000.0 * (ends_by - now),
             once=route.at_most_once,
             may_wait=may_wait,
             priority=max(0, route.priority),
@@ -232,58 +235,17 @@
                 self.traffic.refused[response.why] += 1
             deliver(response)
 
+        if ends_by <= now:
+            count_and_deliver(ForwardResponse(ran=Executed.NEVER, why="time"))
+            return no_withdrawal
         endpoint = self.state.endpoints.server(server)
         if endpoint is None:
-            count_and_deliver(ForwardResponse(ran=0, why="gone"))
+            count_and_deliver(ForwardResponse(ran=Executed.NEVER, why="gone"))
             return no_withdrawal
         if endpoint.address == self._address:
             return self._inbound.handle(forward_request, count_and_deliver)
         return self._peer_links.send(endpoint.address, forward_request, count_and_deliver)
 
-    # ------------------------------------------------------------ links from other data-plane nodes
-
-    def on_up(self, link: Link) -> None:
-        self._withdrawals[link] = {}
-        link.ping_interval_s = IDLE_ACCEPTOR_PING_INTERVAL_S
-
-    def on_down(self, link: Link) -> None:
-        self.state.discovery.unsubscribe(link)
-        for withdraw in self._withdrawals.pop(link, {}).values():
-            withdraw(False)
-
-    def on_frame(self, link: Link, frame: Frame) -> None:
-        kind = frame.WhichOneof("body")
-        withdrawals = self._withdrawals.get(link)
-        if withdrawals is None:
-            return
-        if kind == "waybill":
-            number = frame.waybill.number
-
-            def deliver(response: ForwardResponse) -> None:
-                withdrawals.pop(number, None)
-                if not withdrawals and not self.state.discovery.has_subscriber(link):
-                    link.ping_interval_s = IDLE_ACCEPTOR_PING_INTERVAL_S
-                response.number = number
-                link.send(Frame(delivery=response))
-
-            late_s = self._lag.seconds()
-            if late_s > OVERLOAD_LAG_S:
-                self._calls_shed += 1
-                deliver(ForwardResponse(ran=Executed.NEVER, why=REFUSED_OVERLOADED, retry_ms=1000.0 * late_s))
-                return
-            frame.waybill.left_ms -= 1000.0 * late_s  # time already spent waiting for the event loop
-            withdrawals[number] = no_withdrawal
-            link.ping_interval_s = PING_INTERVAL_S  # the caller waits for a response and checks liveness
-            withdraw = self._inbound.handle(frame.waybill, deliver)
-            if number in withdrawals:
-                withdrawals[number] = withdraw
-        elif kind == "subscribe":
-            link.ping_interval_s = PING_INTERVAL_S
-            self.state.discovery.subscribe(link, frozenset(frame.subscribe.services))
-        elif kind == "withdrawal":
-            withdraw = withdrawals.pop(frame.withdrawal.number, no_withdrawal)
-            withdraw(frame.withdrawal.client_left)
-
     # ------------------------------------------------------------ updates from the control plane
 
     def _on_state_update(self, update: wire.StateUpdate) -> None:
@@ -332,7 +294,7 @@
             service=self.settings.service,
         )
         instance = self.admission.instance
-        if instance is not None and self._terminated_at is None:
+        if instance is not None and self._shutdown is None:
             node.servers.add(
                 id=instance.id,
                 service=instance.service,
@@ -381,8 +343,8 @@
                 + ", ".join(f"{why} {n}" for why, n in self._refusals.most_common(8))
             )
             self._refusals.clear()
-        if self._terminated_at is not None:
-            self._stop_when_idle(now - self._terminated_at)
+        if self._shutdown is not None:
+            self._stop_if_idle(self._shutdown, now)
 
     def _report_usage(self) -> None:
         """Report slots in use and request outcomes each epoch; maintenance windows are planned by these."""
@@ -400,32 +362,53 @@
             self.log_buffer.log_warning(f"reload failed, keeping the previous settings: {read.failure()}")
 
     def terminate(self) -> None:
-        """Handle SIGTERM: finish open requests, refuse new ones that would not end in time, then stop."""
-        if self._terminated_at is not None:
+        """Handle SIGTERM: finish open requests, refuse those that would not end in time, then stop."""
+        if self._shutdown is not None:
             return
         self.log_buffer.log_info(
             f"stopping: {self._outbound.open_requests} open requests, "
             f"{self.admission.running_calls} running calls"
         )
-        self._terminated_at = self._loop.time()
-        grace_s = self.settings.bounds.grace / 1000.0
-        self._outbound.unrestricted_until = self._terminated_at + grace_s / 2.0 - FIRST_HALF_MARGIN_S
-        self._outbound.answers_due_by = self._terminated_at + grace_s - STOP_MARGIN_S - ANSWER_MARGIN_S
+        now = self._loop.time()
+        self._shutdown = ShutdownSchedule.within_grace(now, self.settings.bounds.grace / 1000.0)
         self.admission.terminating = True
-        self._outbound.closing = True
+        self._outbound.begin_shutdown(self._shutdown)
+        self._peer_links.announce_stop(self._shutdown.answers_due_by)
         self._publish_change()
+        self._inbound.process_queue()
+        self._loop.call_later(self._shutdown.answers_due_by - now, self._begin_last_answers)
+        self._loop.call_later(self._shutdown.stop_at - now, self._stop)
+
+    def _begin_last_answers(self) -> None:
+        """Accept nothing more, so that no request arrives in the moment in which connections are closed."""
+        self._outbound.stop_accepting()
+        self._refuse_what_has_not_run()
 
-    def _stop_when_idle(self, elapsed_s: float) -> None:
+    def _refuse_what_has_not_run(self) -> None:
+        """Refuse the requests that have certainly not run, until the connections are closed."""
+        if self._done.is_set():
+            return
+        self._peer_links.fail_unsent()
+        self._outbound.refuse_waiting()
+        self._loop.call_later(FINAL_SWEEP_INTERVAL_S, self._refuse_what_has_not_run)
+
+    def _stop_if_idle(self, schedule: ShutdownSchedule, now: float) -> None:
+        """Stop before the grace period is over if nothing is left to answer."""
         idle = not self._outbound.busy() and not self.admission.running_calls
-        idle = idle and self._loop.time() - self._outbound.last_request_at >= IDLE_BEFORE_STOP_S
-        if (idle and elapsed_s >= MIN_SHUTDOWN_S) or (
-            elapsed_s >= self.settings.bounds.grace / 1000.0 - STOP_MARGIN_S
-        ):
-            self._listener.close()
-            self._outbound.close()
-            self._api_server.close()
-            self._session.close()
-            self.state.discovery.close()
-            self._peer_links.close()
-            self._local_server.close()
-            self._done.set()
+        if idle and schedule.may_stop_idle(now, self._outbound.last_request_at):
+            self._outbound.stop_accepting()
+            self._loop.call_later(LAST_ANSWERS_S, self._stop)
+
+    def _stop(self) -> None:
+        if self._done.is_set():
+            return
+        if self._outbound.open_requests:
+            self.log_buffer.log_info(f"stopped with {self._outbound.open_requests} open requests")
+        self._listener.close()
+        self._outbound.close()
+        self._api_server.close()
+        self._session.close()
+        self.state.discovery.close()
+        self._peer_links.close()
+        self._local_server.close()
+        self._done.set()
--- a/tests/mesh/test_admission_control.py
+++ b/tests/mesh/test_admission_control.py
@@ -5,8 +5,8 @@
 import unittest
 
 from leadrudder.bootstrap.settings import RuleBounds
-from leadrudder.data_plane.admission_control import AdmissionController, ServerInstance
-from leadrudder.data_plane.admission_queue import QueuedCall
+from leadrudder.data_plane.admission_control import LASTING_ORIGIN, AdmissionController, ServerInstance
+from leadrudder.data_plane.admission_queue import CallOrigin, QueuedCall
 from leadrudder.data_plane.retry_budget import RetryBudget
 from leadrudder.data_plane.service_times import MAX_KINDS, ServiceTimes
 from leadrudder.protocol.mesh_pb2 import ForwardRequest
@@ -20,7 +20,9 @@
         self.started: list[int] = []
         self.refused: list[RequestFailure] = []
 
-    def offer_call(self, now: float, **fields: object) -> QueuedCall | None:
+    def offer_call(
+        self, now: float, origin: CallOrigin = LASTING_ORIGIN, **fields: object
+    ) -> QueuedCall | None:
         request_fields = {"server": "i-1", "left_ms": 1000.0, "may_wait": True, "priority": 1, **fields}
         number = len(self.started) + len(self.refused) + 100
         return self.admission.admit(
@@ -28,6 +30,7 @@
             now,
             lambda: self.started.append(number),
             self.refused.append,
+            origin,
         )
 
     def refusal_reasons(self) -> list[str]:
@@ -87,6 +90,44 @@
         self.offer_call(0.1, once=True, attempt_id=b"a")
         self.assertEqual((len(self.started), self.refusal_reasons()), (1, []))
 
+    def queue_call_of(self, origin: CallOrigin) -> None:
+        """Queue a long call, where such calls have taken two seconds."""
+        self.admission._service_times.observe(500.0, 2000.0)
+        self.admission.running_calls = 2
+        self.offer_call(0.0, origin=origin, left_ms=12000.0, aim_ms=12000.0, target_ms=500.0)
+
+    def test_a_queued_call_is_refused_once_it_cannot_end_before_its_origin_stops(self) -> None:
+        origin = CallOrigin()
+        self.queue_call_of(origin)
+        origin.stops_at = 5.0
+        next_check_at = self.admission.process_queue(1.0)
+        self.assertEqual((next_check_at, self.refusal_reasons()), (2.0, []))
+        self.admission.process_queue(2.0)
+        self.assertEqual(self.refusal_reasons(), ["caller stopping"])
+        self.assertIs(self.refused[0].ran, Executed.NEVER)
+
+    def test_a_server_gets_no_more_time_than_until_the_origin_stops(self) -> None:
+        origin = CallOrigin()
+        self.queue_call_of(origin)
+        origin.stops_at = 5.0
+        (queued,) = self.admission._queue
+        self.admission.running_calls = 0
+        self.admission.process_queue(1.0)
+        self.assertEqual((len(self.started), queued.forward_request.left_ms), (1, 4000.0))
+
+    def test_calls_of_other_origins_keep_their_time(self) -> None:
+        self.queue_call_of(CallOrigin())
+        CallOrigin().stops_at = 5.0
+        self.admission.process_queue(5.0)
+        self.assertEqual(self.refused, [])
+
+    def test_a_new_call_of_a_stopping_origin_is_refused_unless_it_can_end(self) -> None:
+        self.admission._service_times.observe(500.0, 2000.0)
+        origin = CallOrigin(stops_at=5.0)
+        self.offer_call(1.5, origin=origin, target_ms=500.0)
+        self.offer_call(2.5, origin=origin, target_ms=500.0)
+        self.assertEqual((len(self.started), self.refusal_reasons()), (1, ["caller stopping"]))
+
     def test_a_full_server_serves_the_queue_by_rank(self) -> None:
         self.admission.running_calls = 2
         self.offer_call(0.0, priority=3)
--- a/tests/mesh/test_graceful_shutdown.py
+++ b/tests/mesh/test_graceful_shutdown.py
@@ -133,6 +133,13 @@
         self.client.data_received(request(fields="Time-Left: 900\r\n"))
         self.assertEqual(len(self.accepted), 1)
 
+    def test_each_request_is_refused_once_no_connection_is_accepted(self) -> None:
+        self.outbound.stop_accepting()
+        self.client.data_received(request(fields="Time-Left: 1\r\n"))
+        self.assertEqual(self.accepted, [])
+        self.assertIn(b" 503 ", self.transport.written)
+        self.assertIn(b"Connection: close", self.transport.written)
+
     def test_refused_with_retry_after_if_it_could_be_cut_off(self) -> None:
         self.clock.now = 104.6
         self.client.data_received(request(fields="Time-Left: 900\r\n"))
--- a/tests/mesh/test_load_balancer.py
+++ b/tests/mesh/test_load_balancer.py
@@ -243,6 +243,24 @@
         self.set_up(once=True)
         self.assertEqual(self.expire().status(), 504)
 
+    def test_a_request_that_waits_for_a_server_is_refused_when_its_node_stops(self) -> None:
+        self.set_up(once=True, servers=())
+        client_request = ProxiedRequest(b"GET", b"/", b"", b"", b"id", 101.0, self.answers.append)
+        self.load_balancer.submit(client_request)
+        self.assertEqual((self.calls, self.answers), ([], []))
+        client_request.refuse_if_waiting()
+        (verdict,) = self.answers
+        assert isinstance(verdict, RequestFailure)
+        self.assertEqual(verdict.status(), 503)
+        self.assertEqual(self.load_balancer._client_requests, {})
+
+    def test_a_request_in_flight_is_not_refused_when_its_node_stops(self) -> None:
+        self.set_up(once=True)
+        client_request = ProxiedRequest(b"GET", b"/", b"", b"", b"id", 101.0, self.answers.append)
+        self.load_balancer.submit(client_request)
+        client_request.refuse_if_waiting()
+        self.assertEqual((len(self.calls), self.answers), (1, []))
+
     def test_an_error_reply_of_a_server_is_forwarded(self) -> None:
         self.set_up(once=True)
         self.send_request()
--- a/tests/mesh/test_shedding.py
+++ b/tests/mesh/test_shedding.py
@@ -22,17 +22,17 @@
         data_plane_node = fleet.node_machines[0].node
         assert data_plane_node is not None
         link = mock.Mock()
-        data_plane_node.on_up(link)
+        data_plane_node._incoming_calls.on_up(link)
         forward_request = ForwardRequest(
             number=3, server="i-side-0-0", method=b"GET", target=b"/", left_ms=900.0
         )
         with mock.patch.object(LoopLag, "seconds", lambda lag: 2 * OVERLOAD_LAG_S):
-            data_plane_node.on_frame(link, Frame(waybill=forward_request))
+            data_plane_node._incoming_calls.on_frame(link, Frame(waybill=forward_request))
         delivery = cast(Any, link.send.call_args.args[0]).delivery
         self.assertEqual(
             (delivery.number, Executed(delivery.ran), delivery.why), (3, Executed.NEVER, "behind")
         )
-        data_plane_node.on_down(link)
+        data_plane_node._incoming_calls.on_down(link)
 
     def test_while_one_node_lags_requests_are_served_elsewhere(self) -> None:
         fleet = Fleet(4, PLAN)
@@ -55,7 +55,7 @@
         elsewhere = [request for request in requests if not request.attempt_ids[0].startswith("side-0-")]
         served = sum(bool(request.served_attempt) for request in elsewhere)
         self.assertGreater(served, 0.98 * len(elsewhere))
-        self.assertGreater(lagging_node._calls_shed + lagging_node._outbound.requests_shed, 0)
+        self.assertGreater(lagging_node._incoming_calls.calls_shed + lagging_node._outbound.requests_shed, 0)
         self.assertEqual(fleet.errors, [])
 
 
