--- a/tests/mesh/test_cut_off_at_sigterm.py
+++ b/tests/mesh/test_cut_off_at_sigterm.py
@@ -7,11 +7,17 @@
 
 import asyncio
 import unittest
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
+from unittest import mock
 
+from leadrudder.data_plane.peer_links import PeerLinks
 from leadrudder.emulation.fleet import OUTBOUND_PORT, Fleet, FleetPlan, Machine
 from leadrudder.emulation.standins import encoded_request, http_call
+from leadrudder.protocol.mesh_pb2 import ForwardRequest, ForwardResponse
+from leadrudder.protocol.outcome import Executed
+from leadrudder.transport.link import Link
 
 SENT_AT_S = 8.0
 SIGTERM_DELAY_S = 0.5
@@ -118,5 +124,38 @@
         self.assertIn(503, [answer.status for answer in self.answers])
 
 
+class CallsWithoutLink(unittest.TestCase):
+    """Calls that wait for a link to come up have not been sent, and count as never run."""
+
+    def _run(self, check: Callable[[PeerLinks, list[ForwardResponse]], None]) -> None:
+        async def dial(address: str, create_link: Callable[[], Link]) -> Link | None:
+            await asyncio.sleep(60.0)
+            return None
+
+        async def scenario() -> None:
+            with mock.patch("leadrudder.data_plane.peer_links.dial", dial):
+                check(PeerLinks(), [])
+
+        asyncio.run(scenario())
+
+    def test_they_are_refused_before_the_connections_are_closed(self) -> None:
+        def check(peer_links: PeerLinks, responses: list[ForwardResponse]) -> None:
+            peer_links.send("10.0.0.1:1", ForwardRequest(), responses.append)
+            peer_links.fail_unsent()
+            peer_links.fail_unsent()
+            self.assertEqual([response.ran for response in responses], [Executed.NEVER])
+
+        self._run(check)
+
+    def test_withdrawing_one_says_that_it_has_not_run(self) -> None:
+        def check(peer_links: PeerLinks, responses: list[ForwardResponse]) -> None:
+            withdraw = peer_links.send("10.0.0.1:1", ForwardRequest(), responses.append)
+            self.assertIs(withdraw(False), Executed.NEVER)
+            peer_links.fail_unsent()
+            self.assertEqual(responses, [])
+
+        self._run(check)
+
+
 if __name__ == "__main__":
     unittest.main()
