--- a/tests/tool/test_check.py
+++ b/tests/tool/test_check.py
@@ -17,7 +17,7 @@
 from leadrudder.tool import source
 from leadrudder.tool.check import CheckResult as Checked
 from leadrudder.tool.check import check_files, check_sources
-from leadrudder.tool.checks import addresses_conflict as collide
+from leadrudder.tool.checks.addresses import addresses_conflict as collide
 from leadrudder.tool.render import render_nodes
 from leadrudder.tool.source import UnreadableFileError as Unreadable
 from leadrudder.tool.source import parse_source as parse
