--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -24,6 +24,7 @@
 
 import uvloop
 
+from bench.closed_loop import ClosedLoopClient
 from bench.revision import ROOT, unpack
 
 HOST = "127.0.0.1"
@@ -55,36 +56,20 @@
         )
 
 
-class _Client(asyncio.Protocol):
-    """Sends the next request as soon as it has a response, until the shared count is used up."""
+class _Client(ClosedLoopClient):
+    """Sends HTTP requests."""
 
-    def __init__(self, remaining: list[int], done: asyncio.Future[None]) -> None:
-        self._remaining = remaining
-        self._done = done
-        self._number = 0
-
-    def connection_made(self, transport: Any) -> None:
-        self._transport = transport
-        self._send_request()
-
-    def _send_request(self) -> None:
-        if self._remaining[0] <= 0:
-            self._transport.close()
-            if not self._done.done():
-                self._done.set_result(None)
-            return
-        self._remaining[0] -= 1
-        self._number += 1
-        self._transport.write(
+    def render(self, number: int) -> bytes:
+        return (
             b"GET /api/haku HTTP/1.1\r\nHost: x\r\nX-Class: haku\r\nX-Deadline: 3.0\r\n"
-            b"X-Request-Id: %x-%x\r\n\r\n" % (id(self), self._number)
+            b"X-Request-Id: %x-%x\r\n\r\n" % (id(self), number)
         )
 
     def data_received(self, data: bytes) -> None:
-        if not data.startswith(b"HTTP/1.1 200") and not self._done.done():
-            self._done.set_exception(RuntimeError(f"unexpected response: {data[:60]!r}"))
+        if not data.startswith(b"HTTP/1.1 200"):
+            self.fail(f"unexpected response: {data[:60]!r}")
             return
-        self._send_request()
+        self.send_next()
 
 
 @dataclass
--- a/bench/rpc.py
+++ b/bench/rpc.py
@@ -27,6 +27,7 @@
 import msgpack
 import uvloop
 
+from bench.closed_loop import ClosedLoopClient
 from bench.node_cost import (
     CLIENT_COUNT,
     HOST,
@@ -80,39 +81,29 @@
         self._transport.write(b"".join(responses))
 
 
-class _RpcClient(asyncio.Protocol):
-    """Sends the next call as soon as it has a response, until the shared count is used up; times each."""
+class _RpcClient(ClosedLoopClient):
+    """Sends RPC calls, and times each."""
 
     def __init__(self, remaining: list[int], done: asyncio.Future[None], durations_s: list[float]) -> None:
-        self._remaining, self._done, self._durations_s = remaining, done, durations_s
-        self._number = 0
+        super().__init__(remaining, done)
+        self._durations_s = durations_s
         self._sent_at = 0.0
         self._unpacker = msgpack.Unpacker(strict_map_key=False)
 
-    def connection_made(self, transport: Any) -> None:
-        self._transport = transport
-        self._send_call()
-
-    def _send_call(self) -> None:
-        if self._remaining[0] <= 0:
-            self._transport.close()
-            if not self._done.done():
-                self._done.set_result(None)
-            return
-        self._remaining[0] -= 1
-        self._number += 1
-        metadata = {"id": f"{id(self):x}-{self._number:x}", "deadline": 3.0}
+    def render(self, number: int) -> bytes:
+        metadata = {"id": f"{id(self):x}-{number:x}", "deadline": 3.0}
         self._sent_at = time.perf_counter()
-        self._transport.write(msgpack.packb([0, self._number, "haku", ["x", metadata]]))
+        call: bytes = msgpack.packb([0, number, "haku", ["x", metadata]])
+        return call
 
     def data_received(self, data: bytes) -> None:
         self._unpacker.feed(data)
         for _, _, error, _ in self._unpacker:
-            if error is not None and not self._done.done():
-                self._done.set_exception(RuntimeError(f"not served: {error}"))
+            if error is not None:
+                self.fail(f"not served: {error}")
                 return
             self._durations_s.append(time.perf_counter() - self._sent_at)
-            self._send_call()
+            self.send_next()
 
 
 async def _start(config: Path, discovery: int, rpc: Path | None) -> _Node:
