--- a/tests/mesh/test_graceful_shutdown.py
+++ b/tests/mesh/test_graceful_shutdown.py
@@ -11,6 +11,7 @@
 from leadrudder.configuration.items import Limits, Route
 from leadrudder.consensus.state_machine import ControlStateMachine
 from leadrudder.data_plane.load_balancer import ProxiedRequest
+from leadrudder.data_plane.shutdown import ShutdownSchedule
 from leadrudder.emulation.fleet import Fleet, Machine
 from leadrudder.storage.store import MemoryStore
 from tests.mesh.test_emulation import PLAN
@@ -148,5 +149,24 @@
         self.assertIn(b"Retry-After", self.transport.written)
 
 
+class ShutdownTimes(unittest.TestCase):
+    def test_each_step_is_within_the_grace_period(self) -> None:
+        schedule = ShutdownSchedule.within_grace(100.0, GRACE_S)
+        steps = (schedule.unrestricted_until, schedule.answers_due_by, schedule.stop_at)
+        self.assertEqual([round(step, 3) for step in steps], [102.9, 105.2, 105.4])
+
+    def test_an_idle_node_stops_early_and_not_before_clients_have_turned_away(self) -> None:
+        fleet = Fleet(5, PLAN)
+        fleet.run_until(3.0)
+        node = fleet.node_machines[0].node
+        assert node is not None
+        node.terminate()
+        fleet.run_until(3.0 + 2.4)
+        self.assertFalse(node._done.is_set())
+        fleet.run_until(3.0 + 2.9)
+        self.assertTrue(node._done.is_set())
+        self.assertEqual(fleet.errors, [])
+
+
 if __name__ == "__main__":
     unittest.main()
