A change that was refused stays out when the disk that alone had accepted it returns

When the third machine returns, one route of the refused change is in force.

Cause: items merged by version first, and nothing recorded that what a claim gathers from a majority is all there is. Whatever one voter had accepted alone under a lower epoch was spread by anti-entropy, gathered by a later claim, and committed under the present owner's epoch. Traced in a copy of the case: the route is accepted under epoch 257 by the lost owner; refused under 512; 0.6 s later "repair" brings it to the two others, which have promised 512; 0.1 s later its owner replicates it under 512.

Change: a claim replicates the section's complete state, and each voter installs it: the epoch of the latest installed claim is durable with the section and goes with promises, reads, grants and transfers. An item accepted under a lower epoch is discarded; items merge by epoch first. A voter that was away is sent the state by the owner. A refusal needs no record of its own. What a majority has is part of every later claim, so nothing acknowledged can be discarded. While a voter of an earlier release answers a claim, it merges as before. Restores discard by the same rule. The owner no longer commits whatever anti-entropy brings it.

--- a/leadrudder/backup/snapshot.py
+++ b/leadrudder/backup/snapshot.py
@@ -19,8 +19,13 @@
 from returns.result import Failure, Result, Success
 
 from leadrudder.configuration.item_store import ItemStore
-from leadrudder.consensus.outputs import SECTIONS
-from leadrudder.consensus.state_machine import ITEM_RECORD_PREFIX, PROMISED_RECORD_PREFIX, VOTERS_RECORD
+from leadrudder.consensus.outputs import SECTIONS, section_of
+from leadrudder.consensus.state_machine import (
+    INSTALLED_RECORD_PREFIX,
+    ITEM_RECORD_PREFIX,
+    PROMISED_RECORD_PREFIX,
+    VOTERS_RECORD,
+)
 from leadrudder.protocol.mesh_pb2 import Item
 from leadrudder.storage.store import CorruptStoreError, DbmStore, DiskError, decode_batch, encode_batch
 
@@ -32,11 +37,15 @@
 
 @dataclass(slots=True)
 class Snapshot:
-    """The content of a snapshot or of a machine's disk.  taken_s: seconds since 1970; 0: unknown."""
+    """The content of a snapshot or of a machine's disk.  taken_s: seconds since 1970; 0: unknown.
+
+    installed: of a disk, by section, the latest claim whose complete state is on it.
+    """
 
     item_store: ItemStore = field(default_factory=ItemStore)
     voter_slots: list[tuple[int, str, int]] = field(default_factory=list)  # index, holder, incarnation
     promised: dict[int, int] = field(default_factory=dict)
+    installed: dict[int, int] = field(default_factory=dict)
     taken_s: float = 0.0
 
     def merge(self, other: Snapshot) -> None:
@@ -48,8 +57,20 @@
         self.voter_slots = [(index, holder, n) for index, (n, holder) in sorted(known.items())]
         for section, epoch in other.promised.items():
             self.promised[section] = max(epoch, self.promised.get(section, 0))
+        for section, epoch in other.installed.items():
+            self.installed[section] = max(epoch, self.installed.get(section, 0))
         self.taken_s = max(self.taken_s, other.taken_s)
 
+    def discard_below(self, installed: Mapping[int, int]) -> None:
+        """Discard the items that a disk had accepted alone, which the claims of the same fleet did not find.
+
+        Epochs further below are of a fleet before an earlier restore, which those claims say nothing about.
+        """
+        for item in list(self.item_store.items.values()):
+            epochs_below = installed.get(section_of(item.key), 0) - item.epoch
+            if 0 < epochs_below < RESTORE_HEADROOM << 8:
+                self.item_store.remove(item.key)
+
     def summary(self) -> str:
         """A one-line summary for an operator."""
         deleted = sum(item.dropped for item in self.item_store.items.values())
@@ -100,6 +121,8 @@
                 snapshot.item_store.merge([item])
             elif name.startswith(PROMISED_RECORD_PREFIX):
                 snapshot.promised[int(name[len(PROMISED_RECORD_PREFIX) :])] = int(value)
+            elif name.startswith(INSTALLED_RECORD_PREFIX):
+                snapshot.installed[int(name[len(INSTALLED_RECORD_PREFIX) :])] = int(value)
             elif name == VOTERS_RECORD:
                 snapshot.voter_slots = [
                     (int(i), str(h), int(n)) for i, h, n, *_ in json.loads(value)["seats"]
@@ -156,8 +179,12 @@
     that no majority lacks any of them. Epochs and incarnations start above any that lost disks may have held;
     a machine that returns from the old fleet then finds that its place as a voter was taken over.
     """
+    sources = list(sources)
     snapshot = Snapshot()
     for source in sources:
+        snapshot.merge(Snapshot(installed=source.installed))
+    for source in sources:
+        source.discard_below(snapshot.installed)
         snapshot.merge(source)
     highest_epoch = max(
         (*snapshot.promised.values(), *(item.epoch for item in snapshot.item_store.items.values()), 0)
--- a/leadrudder/configuration/item_store.py
+++ b/leadrudder/configuration/item_store.py
@@ -65,16 +65,31 @@
     _keys_by_range: dict[int, dict[str, None]] = field(default_factory=dict)
     _live_by_kind: dict[str, SortedDict[str, Item]] = field(default_factory=dict)
 
+    def replaces(self, new: Item, old: Item | None) -> bool:
+        """Whether an item replaces the stored one."""
+        return newer(new, old)
+
     def merge(self, updates: Iterable[Item]) -> list[Item]:
         """Take over the items that are newer than the stored ones; returns these."""
         merged = []
         for item in updates:
             old = self.items.get(item.key)
-            if newer(item, old):
+            if self.replaces(item, old):
                 self._replace(item, old)
                 merged.append(item)
         return merged
 
+    def remove(self, key: str) -> None:
+        """Forget a stored item; unlike a deletion it may be merged again."""
+        item = self.items.pop(key)
+        index = range_of(key)
+        change = digest([item])
+        self.digest ^= change
+        self.range_digests[index] ^= change
+        del self._keys_by_range[index][key]
+        kind = kind_of(key)
+        self._live_by_kind[kind].pop(key[len(kind) :], None)
+
     def _replace(self, item: Item, old: Item | None) -> None:
         change = digest([item]) ^ (digest([old]) if old is not None else 0)
         index = range_of(item.key)
--- a/leadrudder/consensus/ownership.py
+++ b/leadrudder/consensus/ownership.py
@@ -8,6 +8,7 @@
 
 from leadrudder.configuration.item_store import newer
 from leadrudder.configuration.items import SEQUENTIAL_PREFIXES
+from leadrudder.consensus.claim import Claim
 from leadrudder.consensus.outputs import ResultCode
 from leadrudder.consensus.quorum import Quorum
 from leadrudder.protocol import mesh_pb2 as wire
@@ -23,7 +24,8 @@
 RESERVATION_S = 1.0  # a checked version stays reserved for its call
 WITHDRAWAL_S = 3.0  # waited_enough requests of a withdrawn call are rejected
 REBALANCE_INTERVAL_S = 1.0  # between handovers of sections
-RECOVERY_INTERVAL_S = 0.2  # between scans for accepted items that nobody committed
+INSTALL_AFTER_S = 1.0  # voters that missed a claim are sent the state; their status comes twice a second
+INSTALL_INTERVAL_S = 2.0  # before the state of a section is sent to the same voter again
 MAX_EARLIER_CALLS = 8  # superseded multi-item calls remembered for each key, 8 bytes each
 RESEND_INTERVAL_S = 0.7  # unacknowledged items are sent again
 MAX_WAITING_REQUESTS = 1000  # for each section that is being claimed
@@ -39,8 +41,10 @@
     epoch: int
     ready: bool = False
     deadline: float = 0.0  # when an unfinished claim is abandoned
-    promises: Quorum = field(default_factory=Quorum)
+    claim: Claim = field(default_factory=Claim)
     preparing: bool = True
+    ready_at: float = 0.0
+    installed_at: dict[str, float] = field(default_factory=dict)  # when the state was last sent to a voter
     waiting: list[tuple[str, wire.ChangeRequest]] = field(default_factory=list)
 
 
@@ -57,6 +61,7 @@
         default_factory=list
     )  # peers to answer, with their request numbers
     from_claim: bool = False  # items found by a claim, rather than a change
+    complete: bool = False  # the section's complete state, to be installed
     committed: bool = False
 
 
@@ -74,7 +79,6 @@
         self._claim_after: dict[int, float] = {}  # when each section may be claimed again
         self._ownerless_since: dict[int, float] = {}  # sections without a reachable owner, since when
         self._announced: set[int] = set()  # sections whose owner has sent their committed items
-        self._recovered_at = 0.0  # when uncommitted items were last scanned
         self._rebalanced_at = 0.0  # when this node last handed a section over
         # Versions reserved for a call over several sections: call id and expiry, by key and version.
         self._reserved: dict[tuple[str, int], tuple[int, float]] = {}
@@ -85,8 +89,7 @@
         return len(self._announced) == self._machine.sections
 
     def items_of(self, section: int) -> list[Item]:
-        machine = self._machine
-        return [machine.accepted.items[key] for key in machine.keys_by_section.get(section, ())]
+        return self._machine.accepted.in_section(section)
 
     # ------------------------------------------------------------ owners
 
@@ -134,7 +137,7 @@
                 self._send_replication(number, replication, [v for v in voters if v not in replication.acks])
             self._finish_if_committed(number, replication)
         self._forget_reserved(now)
-        self._replicate_uncommitted()
+        self._install_at_voters(voters)
         self._rebalance(voters)
 
     def _rebalance(self, voters: list[str]) -> None:
@@ -169,26 +172,25 @@
             self._note_epoch(handover.section, handover.epoch)
             self.claim(handover.section)
 
-    def _replicate_uncommitted(self) -> None:
-        """Replicate accepted but uncommitted items of owned sections under this node's epoch.
-
-        An earlier owner was lost while replicating them; reads wait until they are committed.
-        """
+    def _install_at_voters(self, voters: list[str]) -> None:
+        """Send the complete state of owned sections to voters that were away when they were claimed."""
         machine, now = self._machine, self._machine.step.now
-        if not machine.uncommitted or now < self._recovered_at + RECOVERY_INTERVAL_S:
-            return
-        self._recovered_at = now
-        found: dict[int, list[Item]] = {}
-        for key in machine.uncommitted:
-            state = self.sections.get(machine.section_of(key))
-            if state is None or not state.ready or key in self._replicating_by_key:
+        for section, state in self.sections.items():
+            if not state.ready or now - state.ready_at < INSTALL_AFTER_S:
+                continue
+            # A claim that was answered by an earlier release installs nothing.
+            if machine.accepted.installed.get(section, 0) < state.epoch:
                 continue
-            copy = Item()
-            copy.CopyFrom(machine.accepted.items[key])
-            copy.epoch = state.epoch
-            found.setdefault(machine.section_of(key), []).append(copy)
-        for section, items in found.items():
-            self._replicate(section, items)
+            for voter in voters:
+                if voter == machine.address or machine.peers[voter].installed.get(section, 0) >= state.epoch:
+                    continue
+                if now - state.installed_at.get(voter, -INSTALL_INTERVAL_S) >= INSTALL_INTERVAL_S:
+                    state.installed_at[voter] = now
+                    self._send_state(voter, section, state.epoch)
+
+    def _send_state(self, voter: str, section: int, epoch: int) -> None:
+        message = wire.Replicate(section=section, epoch=epoch, items=self.items_of(section), complete=True)
+        self._machine.send(voter, Frame(copy=message))
 
     def claim(self, section: int) -> None:
         """Phase one: get a higher epoch promised by a majority, which sends the items it has accepted."""
@@ -214,22 +216,14 @@
                 self._note_epoch(promise.section, promise.promised)
                 self._release(promise.section)
             return
-        state.promises.add(peer, promise.mark)
-        if records := machine.accept(promise.items):
-            machine.write(records)
-        if not state.promises.reached(machine.voter_table.slots):
+        state.claim.add(peer, promise)
+        if not state.claim.promises.reached(machine.voter_table.slots):
             return
         state.preparing = False
-        items = []
-        for item in self.items_of(promise.section):
-            copy = Item()
-            copy.CopyFrom(item)
-            copy.epoch = state.epoch
-            items.append(copy)
-        if items:
-            self._replicate(promise.section, items, claim=True)
-        else:
-            self._become_owner(promise.section)
+        items = state.claim.found_items(machine.sections, state.epoch)
+        complete = state.claim.may_discard()
+        state.claim = Claim()
+        self._replicate(promise.section, items, claim=True, complete=complete)
 
     def _note_epoch(self, section: int, epoch: int) -> None:
         """Record an epoch promised by others: the next claim must use a higher one."""
@@ -240,6 +234,7 @@
     def _become_owner(self, section: int) -> None:
         machine, state = self._machine, self.sections[section]
         state.ready = True
+        state.ready_at = machine.step.now
         self._announced.add(section)
         self._ownerless_since.pop(section, None)
         self.known_owners[section] = (state.epoch, machine.address)
@@ -293,7 +288,7 @@
             if holder == peer:
                 self.known_owners[section] = (epoch, "")
         for state in self.sections.values():
-            state.promises.drop(peer)
+            state.claim.drop(peer)
         for replication in self._replications.values():
             if not replication.committed:
                 replication.acks.drop(peer)
@@ -467,12 +462,18 @@
         return [latest for item in asked if (latest := self._latest(item.key)) is not None]
 
     def _replicate(
-        self, section: int, items: list[Item], *, asked: tuple[str, int] | None = None, claim: bool = False
+        self,
+        section: int,
+        items: list[Item],
+        *,
+        asked: tuple[str, int] | None = None,
+        claim: bool = False,
+        complete: bool = False,
     ) -> None:
         machine = self._machine
         self._last_number += 1
         now = machine.step.now
-        replication = Replication(section, items, now, now, from_claim=claim)
+        replication = Replication(section, items, now, now, from_claim=claim, complete=complete)
         if asked is not None:
             replication.requesters.append(asked)
         self._replications[self._last_number] = replication
@@ -495,7 +496,11 @@
     def _send_replication(self, number: int, replication: Replication, to: Iterable[str]) -> None:
         epoch = self.sections[replication.section].epoch
         message = wire.Replicate(
-            number=number, section=replication.section, epoch=epoch, items=replication.items
+            number=number,
+            section=replication.section,
+            epoch=epoch,
+            items=replication.items,
+            complete=replication.complete,
         )
         for voter in to:
             self._machine.send(voter, Frame(copy=message))
--- a/leadrudder/consensus/reconfiguration.py
+++ b/leadrudder/consensus/reconfiguration.py
@@ -212,6 +212,7 @@
         if ok:
             grant.promised.extend(wire.PromisedEpoch(section=s, epoch=e) for s, e in machine.promised.items())
             grant.items.extend(machine.accepted.items.values())
+            grant.installed.extend(machine.accepted.installed_epochs())
         after = voter_table.record()
         machine.write(
             {voter_table.RECORD: after} if after != before else {}, [Send(peer, Frame(grant=grant))]
@@ -233,7 +234,7 @@
                 self._claimed_at = -CLAIM_INTERVAL_S  # request the grants now
             return
         self._grants.add(peer)
-        records = self._merge_grant(grant.promised, grant.items)
+        records = self._merge_voter(grant)
         voter_table.merge(s for s in grant.seats if s.index != claim.index)
         if len(self._grants) < max(needed, voter_table.required_grants(claim.index)):
             machine.write(records)
@@ -241,21 +242,23 @@
         voter_table.slots[claim.index] = claim
         self._claim = None
         # Everything must be on disk before this node votes: the status is sent after the write.
-        records = machine.item_records() | machine.promise_records()
+        records = machine.accepted.item_records() | machine.accepted.installed_records()
+        records |= machine.promise_records()
         records[voter_table.RECORD] = voter_table.record(full=True)
         machine.log(f"takes voter slot {claim.index}, incarnation {claim.incarnation}")
         machine.write(records, [self._slot_written()])
 
-    def _merge_grant(
-        self, promised: Iterable[wire.PromisedEpoch], items: Iterable[wire.Item]
-    ) -> dict[str, bytes]:
-        """Merge a voter's state; returns the records of items that are new here."""
+    def _merge_voter(self, state: wire.SlotGrant | wire.SlotTransfer) -> dict[str, bytes]:
+        """Merge a voter's state; returns the records of items and installed epochs that are new here."""
         machine = self._machine
-        for entry in promised:
-            if entry.epoch > machine.promised.get(entry.section, 0):
-                machine.promised[entry.section] = entry.epoch
-                machine.ownership.on_higher_epoch(entry.section, entry.epoch)
-        return machine.accept(items)
+        for promised in state.promised:
+            if promised.epoch > machine.promised.get(promised.section, 0):
+                machine.promised[promised.section] = promised.epoch
+                machine.ownership.on_higher_epoch(promised.section, promised.epoch)
+        records = machine.accept(state.items)
+        for installed in state.installed:
+            records |= machine.install(installed.section, installed.epoch)
+        return records
 
     def _slot_written(self) -> Send:
         """A message to this node itself, sent once its slot and all items are on disk."""
@@ -325,7 +328,7 @@
         if removal is None or grant.seat != removal.slot or removal.gathered or not voter_table.full:
             return
         needed = voter_table.required_grants(removal.slot.index)
-        records = self._merge_grant(grant.promised, grant.items) | machine.promise_records()
+        records = self._merge_voter(grant) | machine.promise_records()
         voter_table.merge(grant.seats)
         removal.grants.add(peer)
         removal.gathered = len(removal.grants) >= max(needed, voter_table.required_grants(removal.slot.index))
@@ -346,6 +349,7 @@
         machine = self._machine
         transfer = wire.SlotTransfer(seat=removal.slot, items=machine.accepted.items.values())
         transfer.promised.extend(wire.PromisedEpoch(section=s, epoch=e) for s, e in machine.promised.items())
+        transfer.installed.extend(machine.accepted.installed_epochs())
         for voter in machine.voters():
             if voter not in removal.transferred:
                 machine.send(voter, Frame(fill=transfer))
@@ -357,7 +361,7 @@
         self.merge_slots([transfer.seat])
         if not machine.voter_table.full:
             return  # the removed slot was this node's
-        records = self._merge_grant(transfer.promised, transfer.items) | machine.promise_records()
+        records = self._merge_voter(transfer) | machine.promise_records()
         ack = wire.SlotTransferAck(seat=transfer.seat, mark=machine.voter_view())
         machine.write(records, [Send(peer, Frame(filled=ack))])
 
--- a/leadrudder/consensus/requests.py
+++ b/leadrudder/consensus/requests.py
@@ -8,7 +8,7 @@
 from enum import IntEnum, auto
 from typing import TYPE_CHECKING
 
-from leadrudder.configuration.item_store import ItemStore
+from leadrudder.consensus.accepted import AcceptedItems, epochs_by_section
 from leadrudder.consensus.outputs import ResultCode
 from leadrudder.consensus.quorum import Quorum
 from leadrudder.protocol import mesh_pb2 as wire
@@ -65,7 +65,7 @@
     attempts: int = 0
     retry_at: float = 0.0  # when the voters are queried again
     round: int = 0
-    replies: dict[str, list[Item]] = field(default_factory=dict)
+    replies: dict[str, wire.ReadResponse] = field(default_factory=dict)
     quorum: Quorum = field(default_factory=Quorum)
 
 
@@ -242,13 +242,13 @@
         pending = self._rounds.get(response.number)
         if pending is None or not response.ok or not machine.voter_table.slots:
             return
-        pending.replies[peer] = list(response.items)
+        pending.replies[peer] = response
         pending.quorum.add(peer, response.mark)
         if not pending.quorum.reached(machine.voter_table.slots):
             return
-        newest = ItemStore()
-        for items in pending.replies.values():
-            newest.merge(items)
+        newest = AcceptedItems(sections=machine.sections)
+        for reply in pending.replies.values():
+            newest.merge_voter(reply.items, epochs_by_section(reply.installed))
         uncommitted_keys = [key for key, item in newest.items.items() if not self._is_committed(item)]
         if not uncommitted_keys:
             self._finish_read(pending, ResultCode.DONE, newest.items.values())
--- a/leadrudder/consensus/state_machine.py
+++ b/leadrudder/consensus/state_machine.py
@@ -2,7 +2,7 @@
 
 Every key is a register of its own: the owner of its section gives a version its value once, under an epoch
 that a majority of voters has promised, and the value is committed when a majority has it on disk. Items merge
-by (version, epoch), so late and duplicate messages change nothing.
+by (epoch, version), so late and duplicate messages change nothing; what a claim has not found is discarded.
 
 Inputs: start, tick, up, down, frame, change, read, resign. Each returns what to send, write and answer.
 """
@@ -15,6 +15,12 @@
 
 from leadrudder.configuration.item_store import ItemStore, newer
 from leadrudder.configuration.items import VOTER_COUNT_KEY, read_voter_count
+from leadrudder.consensus.accepted import (
+    INSTALLED_RECORD_PREFIX,
+    ITEM_RECORD_PREFIX,
+    epochs_by_section,
+    read_accepted,
+)
 from leadrudder.consensus.anti_entropy import AntiEntropy
 from leadrudder.consensus.lease import DUTIES, Leases
 from leadrudder.consensus.outputs import (
@@ -38,8 +44,14 @@
 from leadrudder.protocol import mesh_pb2 as wire
 from leadrudder.protocol.mesh_pb2 import Frame, Item, VoterSlot
 
-PROMISED_RECORD_PREFIX, ITEM_RECORD_PREFIX = "promised/", "item/"
-__all__ = ["ITEM_RECORD_PREFIX", "PROMISED_RECORD_PREFIX", "VOTERS_RECORD", "ControlStateMachine"]
+PROMISED_RECORD_PREFIX = "promised/"
+__all__ = [
+    "INSTALLED_RECORD_PREFIX",
+    "ITEM_RECORD_PREFIX",
+    "PROMISED_RECORD_PREFIX",
+    "VOTERS_RECORD",
+    "ControlStateMachine",
+]
 
 
 class ControlStateMachine:
@@ -71,11 +83,10 @@
         self.peers: dict[str, Peer] = {}
         self.voter_table = VoterTable(address)
         self.promised: dict[int, int] = {}
-        self.accepted = ItemStore()  # items that this node has accepted as a voter
+        self.accepted = read_accepted(records, sections)  # items that this node has accepted as a voter
         self.committed = ItemStore()  # items known to be on disk at a majority
         # Keys whose accepted item is newer than the committed one.
-        self.uncommitted: dict[str, None] = {}
-        self.keys_by_section: dict[int, dict[str, None]] = {}  # keys of accepted items
+        self.uncommitted: dict[str, None] = dict.fromkeys(self.accepted.items)
         self.resigned = False
         self._started_at: float | None = None
         self.voting_since = 0.0  # start of the process, or of its voter slot if later
@@ -89,9 +100,7 @@
 
     def _restore(self, records: dict[str, bytes]) -> None:
         for name, value in records.items():
-            if name.startswith(ITEM_RECORD_PREFIX):
-                self._merge_accepted([Item.FromString(value)])
-            elif name.startswith(PROMISED_RECORD_PREFIX):
+            if name.startswith(PROMISED_RECORD_PREFIX):
                 self.promised[int(name[len(PROMISED_RECORD_PREFIX) :])] = int(value)
         if VOTERS_RECORD in records:
             self.voter_table.restore(records[VOTERS_RECORD])
@@ -222,17 +231,23 @@
 
     def accept(self, items: Iterable[Item]) -> dict[str, bytes]:
         """Merge items into the accepted ones; returns the records to write."""
-        merged = self._merge_accepted(items)
-        self.anti_entropy.on_accepted(merged)
-        return {ITEM_RECORD_PREFIX + item.key: item.SerializeToString() for item in merged}
-
-    def _merge_accepted(self, items: Iterable[Item]) -> list[Item]:
         merged = self.accepted.merge(items)
         for item in merged:
-            self.keys_by_section.setdefault(self.section_of(item.key), {})[item.key] = None
             if newer(item, self.committed.items.get(item.key)):
                 self.uncommitted[item.key] = None
-        return merged
+        self.anti_entropy.on_accepted(merged)
+        return {ITEM_RECORD_PREFIX + item.key: item.SerializeToString() for item in merged}
+
+    def install(self, section: int, epoch: int) -> dict[str, bytes]:
+        """Discard what a claim, whose complete state was accepted, lacks; returns the records to write."""
+        if epoch <= self.accepted.installed.get(section, 0):
+            return {}
+        discarded = self.accepted.install(section, epoch)
+        for key in discarded:
+            self.uncommitted.pop(key, None)
+        if discarded:
+            self.log(f"discards what no claim of section {section} has found: {', '.join(discarded)}")
+        return {f"{INSTALLED_RECORD_PREFIX}{section}": str(epoch).encode()}
 
     def describe_voters(self) -> dict[str, Any]:
         """Voter slots, their holders and owned sections as this node sees them, for operators."""
@@ -263,12 +278,6 @@
         connected = slot.holder == self.address or (peer is not None and peer.up)
         return "empty" if connected else "not connected"
 
-    def item_records(self) -> dict[str, bytes]:
-        """The records of all accepted items."""
-        return {
-            ITEM_RECORD_PREFIX + item.key: item.SerializeToString() for item in self.accepted.items.values()
-        }
-
     def promise_records(self) -> dict[str, bytes]:
         """The records of all promised epochs."""
         return {f"{PROMISED_RECORD_PREFIX}{s}": str(e).encode() for s, e in self.promised.items()}
@@ -355,6 +364,7 @@
             owned=[
                 wire.PromisedEpoch(section=s, epoch=e) for s, e in self.ownership.owned_sections().items()
             ],
+            installed=self.accepted.installed_epochs(),
         )
         self.send(peer, Frame(greeting=status))
 
@@ -371,6 +381,7 @@
         known.informed = True
         known.up, known.zone, known.resigned = True, status.zone, status.resigned
         known.full, known.first_run = status.full, status.first_run
+        known.installed = epochs_by_section(status.installed)
         if status.full or not self.voter_table.slots:
             self.reconfiguration.merge_slots(status.seats, peer if status.full else "")
         if needs_state:
@@ -397,6 +408,7 @@
         promise.ok, promise.promised = True, epoch
         promise.mark.CopyFrom(self.voter_view())
         promise.items.extend(self.ownership.items_of(section))
+        promise.installed = self.accepted.installed.get(section, 0)
         self.write(
             {f"{PROMISED_RECORD_PREFIX}{section}": str(epoch).encode()}, [Send(peer, Frame(promise=promise))]
         )
@@ -408,6 +420,8 @@
             self.send(peer, Frame(copied=ack))
             return
         records = self.accept(replicate.items)
+        if replicate.complete:
+            records |= self.install(replicate.section, replicate.epoch)
         if replicate.epoch > promised:
             self.promised[replicate.section] = replicate.epoch
             records[f"{PROMISED_RECORD_PREFIX}{replicate.section}"] = str(replicate.epoch).encode()
@@ -419,6 +433,7 @@
         response = wire.ReadResponse(number=request.number, ok=self.voter_table.full)
         if response.ok:
             response.items.extend(self.accepted.items.values())
+            response.installed.extend(self.accepted.installed_epochs())
             response.mark.CopyFrom(self.voter_view())
         self.write({}, [Send(peer, Frame(reading=response))])
 
--- a/leadrudder/consensus/voters.py
+++ b/leadrudder/consensus/voters.py
@@ -33,6 +33,7 @@
     life: int = 0  # identifies its process
     informed: bool = False  # it was sent committed items and owned sections on this link
     changed_at: float = 0.0  # when it connected or disconnected
+    installed: dict[int, int] = field(default_factory=dict)  # its installed epochs, by section
 
 
 @dataclass(slots=True)
--- a/leadrudder/model_checker/machine_states.py
+++ b/leadrudder/model_checker/machine_states.py
@@ -18,9 +18,11 @@
 from google.protobuf.message import Message
 
 from leadrudder.configuration.item_store import ItemStore
+from leadrudder.consensus.accepted import AcceptedItems, read_accepted
 from leadrudder.consensus.lease import DUTIES
 from leadrudder.consensus.outputs import Answer, Committed, Output, Send, Write
 from leadrudder.consensus.state_machine import (
+    INSTALLED_RECORD_PREFIX,
     ITEM_RECORD_PREFIX,
     PROMISED_RECORD_PREFIX,
     VOTERS_RECORD,
@@ -33,6 +35,7 @@
 MachineInput = tuple[Any, ...]  # kind, arguments, and the machine's own time last
 ItemTuple = tuple[str, int, bool, bytes]  # key, version, dropped, value
 VoterRow = tuple[int, str, int]  # slot index, holder (empty while the slot is being closed), incarnation
+RECORD_PREFIXES = (ITEM_RECORD_PREFIX, INSTALLED_RECORD_PREFIX, PROMISED_RECORD_PREFIX)
 CLOSED_SLOT = "-"  # the holder of a slot that has been closed
 
 
@@ -136,6 +139,8 @@
         return tuple(map(_canonical, obj))
     if isinstance(obj, DeterministicRandom):
         return obj.count
+    if isinstance(obj, AcceptedItems):
+        return _canonical(obj.items), _canonical(obj.installed)
     if isinstance(obj, ItemStore):
         return _canonical(obj.items)  # the digests follow from the items
     names = getattr(obj, "__slots__", None) or sorted(vars(obj))
@@ -172,8 +177,9 @@
 class MachineStates:
     """The machine states and disk contents seen so far, by id.  make_machine: creates a starting process."""
 
-    def __init__(self, make_machine: MachineFactory) -> None:
+    def __init__(self, make_machine: MachineFactory, sections: int) -> None:
         self._make_machine = make_machine
+        self._sections = sections
         self._ids: dict[Any, int] = {}
         self._ids_by_blob: dict[bytes, int] = {}  # equal states may have several pickles
         self._blobs: list[bytes] = [b""]  # id 0: no process
@@ -247,18 +253,16 @@
     def disk_view(self, disk_id: int) -> DiskView:
         view = self._disk_views.get(disk_id)
         if view is None:
-            items = {}
+            accepted = read_accepted(self.disks[disk_id], self._sections)
+            items = {key: item_tuple(item) for key, item in accepted.items.items()}
             voters = VoterTable("")
             full = False
             for name, value in self.disks[disk_id].items():
-                if name.startswith(ITEM_RECORD_PREFIX):
-                    item = Item.FromString(value)
-                    items[item.key] = item_tuple(item)
-                elif name == VOTERS_RECORD:
+                if name == VOTERS_RECORD:
                     voters.restore(value)
                     full = bool(json.loads(value)["full"])
                 else:
-                    assert name.startswith(PROMISED_RECORD_PREFIX)
+                    assert name.startswith(RECORD_PREFIXES)
             view = self._disk_views[disk_id] = DiskView(full, _voter_rows(voters), items)
         return view
 
--- a/leadrudder/model_checker/scenarios.py
+++ b/leadrudder/model_checker/scenarios.py
@@ -7,6 +7,7 @@
 from leadrudder.model_checker.state import QUIESCE, Action, Call, FaultBudget, Scenario
 
 KEY_IN_SECTION_0, KEY_IN_SECTION_1 = "routes/r4", "routes/r1"  # of two sections
+OTHER_KEY_IN_SECTION_0 = "routes/r5"
 
 
 def item_change(
@@ -29,6 +30,28 @@
 # Frames from A and C do not reach B.
 _ALL_TO_B_HELD: tuple[Action, ...] = (_A_TO_B_HELD, ("hold", "arrives", 2, 1), ("hold", "late", 2, 1))
 
+# A accepts the first call alone and ends; the second call is taken by the others, and refuses the first.
+_REFUSED_WHILE_A_IS_AWAY: tuple[Action, ...] = (
+    ("hold", "arrives", 0, 1),
+    ("hold", "arrives", 0, 2),
+    ("call", 0, 0),
+    QUIESCE,
+    ("break", 0, 1),
+    ("break", 0, 2),
+    ("kill", 0),
+    ("hold", "start", 0),
+    ("release", "arrives", 0, 1),
+    ("release", "arrives", 0, 2),
+    QUIESCE,
+    ("pass",),
+    QUIESCE,
+    ("call", 1, 1),
+    QUIESCE,
+    ("call", 0, 2),
+    QUIESCE,
+    ("release", "start", 0),
+)
+
 SCENARIOS = {
     scenario.name: scenario
     for scenario in (
@@ -115,6 +138,23 @@
             prefix=(("call", 0, 0), _A_TO_B_HELD),
             recovery_check_every=997,
         ),
+        Scenario(
+            "returned",
+            "a call that one host alone has accepted is refused, then its disk returns; another loses power",
+            FaultBudget(time_steps=6, power_losses=1, delays=0),
+            (
+                Call(
+                    (
+                        *item_change(KEY_IN_SECTION_0, 2, b"<a>"),
+                        *item_change(OTHER_KEY_IN_SECTION_0, 2, b"<a>"),
+                    ),
+                    attempts=2,
+                ),
+                Call(item_change(KEY_IN_SECTION_0, 2, b"<b>")),
+            ),
+            prefix=_REFUSED_WHILE_A_IS_AWAY,
+            recovery_check_every=97,
+        ),
         Scenario(
             "handed",
             "an owner resigns while a change is on its way to it; another host loses power",
--- a/leadrudder/model_checker/world.py
+++ b/leadrudder/model_checker/world.py
@@ -82,7 +82,7 @@
             machine.quorum_check = NoQuorumCheck(machine)
             return machine
 
-        self.machine_states = MachineStates(make_machine)
+        self.machine_states = MachineStates(make_machine, scenario.sections)
 
     # ------------------------------------------------------------ initial state
 
@@ -113,7 +113,11 @@
         prefix_length = len(scenario.prefix)
         state = state._replace(
             budget=FaultBudget(
-                holds=prefix_length, time_steps=prefix_length, link_breaks=prefix_length, joins=prefix_length
+                holds=prefix_length,
+                time_steps=prefix_length,
+                kills=prefix_length,
+                link_breaks=prefix_length,
+                joins=prefix_length,
             )
         )
         for action in scenario.prefix:
--- a/tests/mesh/planted_faults.py
+++ b/tests/mesh/planted_faults.py
@@ -6,11 +6,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from typing import Any
 from unittest import mock
 
+from leadrudder.configuration.item_store import ItemStore, newer
 from leadrudder.consensus import lease, ownership, quorum, state_machine
+from leadrudder.consensus.accepted import AcceptedItems
 from leadrudder.consensus.lease import Leases
 from leadrudder.consensus.outputs import Output, ResultCode, Send
 from leadrudder.consensus.ownership import SectionOwnership
@@ -126,7 +128,10 @@
 
 def older_overwrites_newer() -> Any:
     """The last received version of an item is stored, even if it is older."""
-    return mock.patch("leadrudder.configuration.item_store.newer", lambda new, old: True)
+    stack = ExitStack()
+    for store in (ItemStore, AcceptedItems):
+        stack.enter_context(patch_attribute(store, "replaces", lambda self, new, old: True))
+    return stack
 
 
 def promise_not_written() -> Any:
@@ -237,9 +242,40 @@
     return patch_attribute(SectionOwnership, "on_owned_sections", lambda self, peer, owned: None)
 
 
-def left_half_done() -> Any:
-    """Uncommitted items of an earlier owner that anti-entropy delivers are not replicated."""
-    return patch_attribute(SectionOwnership, "_replicate_uncommitted", lambda self: None)
+def unfound_items_kept() -> ExitStack:
+    """What one voter alone had accepted outlives the claims that did not find it."""
+    stack = ExitStack()
+    stack.enter_context(patch_attribute(ControlStateMachine, "install", lambda self, section, epoch: {}))
+    stack.enter_context(patch_attribute(AcceptedItems, "install", lambda self, section, epoch: []))
+    stack.enter_context(patch_attribute(AcceptedItems, "replaces", lambda self, new, old: newer(new, old)))
+    return stack
+
+
+def unfound_items_committed() -> Any:
+    """What one voter alone had accepted is kept, and the owner that it is sent to replicates it."""
+
+    def replicate_unfound(self: SectionOwnership, voters: list[str]) -> None:
+        for section, epoch in self.owned_sections().items():
+            items = [Item.FromString(item.SerializeToString()) for item in self.items_of(section)]
+            unfound = [item for item in items if item.epoch < epoch]
+            for item in unfound:
+                item.epoch = epoch
+            if unfound:
+                self._replicate(section, unfound)
+
+    stack = unfound_items_kept()
+    stack.enter_context(patch_attribute(SectionOwnership, "_install_at_voters", replicate_unfound))
+    return stack
+
+
+def unfound_items_read() -> Any:
+    """A read does not tell which items the latest claim has found."""
+    return patch_attribute(AcceptedItems, "merge_voter", lambda self, items, installed: self.merge(items))
+
+
+def late_voters_not_told() -> Any:
+    """A voter that was away during a claim is not sent the section's state."""
+    return patch_attribute(SectionOwnership, "_install_at_voters", lambda self, voters: None)
 
 
 # ---------------------------------------------------------------- voter slots
@@ -470,7 +506,10 @@
         refused_before_it_stands,
         read_by_one,
         stale_owner_believed,
-        left_half_done,
+        unfound_items_kept,
+        unfound_items_committed,
+        unfound_items_read,
+        late_voters_not_told,
         wiped_counts_at_once,
         newcomer_asks_one,
         full_before_the_sync,
@@ -499,6 +538,7 @@
     "old_epoch_kept",
     "refused_before_it_stands",
     "stale_owner_believed",
+    "unfound_items_read",
     "newcomer_asks_one",
     "full_before_the_sync",
     "granted_without_items",
@@ -526,7 +566,7 @@
         ],
     ),
     # An item that outlived its owner was spread by anti-entropy but never committed, so reads waited forever.
-    "left_half_done": (
+    "unfound_items_kept": (
         "two-keys",
         [
             ("arrives", 0, 1),
@@ -557,14 +597,21 @@
     "lower_is_done_at_once": ("again", 200),
     "read_by_one": ("reads", 2_000),
     "wiped_counts_at_once": ("wiped", 8_000),
+    "unfound_items_committed": ("returned", 200),
     "grants_to_all": ("duty", 500),
     "no_room_for_clocks": ("duty", 6_000),
     "lease_kept_too_long": ("duty", 12_000),
     "granted_anew_after_a_restart": ("duty", 50_000),
     "found_is_not_copied": ("handed", 120_000),
 }
-# Detected by a test of its own in tests/mesh/test_concurrent_operators.py or test_control_simulation.py.
-FOUND_BY_DIRECTED_TESTS = ("reserved_in_no_order", "links_believed", "new_slot_by_one")
+# Detected by a test of its own in tests/mesh/test_concurrent_operators.py, test_control_simulation.py or
+# test_refused_after_power_loss.py.
+FOUND_BY_DIRECTED_TESTS = (
+    "reserved_in_no_order",
+    "links_believed",
+    "new_slot_by_one",
+    "late_voters_not_told",
+)
 FOUND_AT_START = ("older_overwrites_newer",)  # frames are exchanged without end before the first fault
 
 # Simulations that detect faults which few seeds detect.
--- a/tests/mesh/test_backup.py
+++ b/tests/mesh/test_backup.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import io
 import json
 import os
@@ -15,9 +16,17 @@
 
 from returns.result import Failure, Success
 
-from leadrudder.backup.snapshot import Snapshot, load_snapshot, pack, restored_records, save_snapshot, unpack
+from leadrudder.backup.snapshot import (
+    Snapshot,
+    load_snapshot,
+    pack,
+    read_records,
+    restored_records,
+    save_snapshot,
+    unpack,
+)
 from leadrudder.configuration.item_store import ItemStore
-from leadrudder.consensus.outputs import Answer, ResultCode
+from leadrudder.consensus.outputs import Answer, ResultCode, section_of
 from leadrudder.control_simulation.world import World
 from leadrudder.mesh.__main__ import main
 from leadrudder.protocol.mesh_pb2 import Item, RecordBatch
@@ -109,6 +118,16 @@
             self.assertEqual(item_store.items["routes/b"].value, b"new")
             self.assertIn("limits", item_store.items)
 
+    def test_a_refused_change_on_a_disk_that_missed_the_next_claim_is_not_restored(self) -> None:
+        claimed, key = 512, "routes/a"
+        installed = {f"installed/{section_of(key)}": str(claimed).encode()}
+        late = read_records({"item/routes/a": item(key, 2, b"refused").SerializeToString()}).unwrap()
+        disk = item(key, 1, b"kept", epoch=claimed).SerializeToString()
+        others = read_records({"item/routes/a": disk, **installed}).unwrap()
+        for sources in ([late, others], [others, late]):
+            records = restored_records([copy.deepcopy(source) for source in sources], ["a:1", "b:1", "c:1"])
+            self.assertEqual(Item.FromString(records["item/routes/a"]).value, b"kept")
+
     def test_a_machine_of_the_old_fleet_has_no_vote_in_a_restored_one(self) -> None:
         world = World(3)
         old = world.machines["10.2.0.1:1"]
