A copy of a refused change that is read late takes no part of it

Seen by callers: a change of two items is refused with 409, as another operator's was first. That operator moves the item on to the next version. Then a copy of the refused change, which the network or a frozen process held back after its caller had gone elsewhere, is read: the item that it lost is older than the present one and is passed over, the other item is taken. Part of a refused change is in force.

Cause: the class of the late orders. An older change may arrive again, and a superseded item changes nothing; but whether it was superseded before or after it was refused is known to the caller only.

Change: a change whose caller may have given up is taken unless one of its items was superseded by another call's; then it has no clear answer (503). A caller that still waits was not refused, so its older change is acknowledged as before.

--- a/leadrudder/consensus/outputs.py
+++ b/leadrudder/consensus/outputs.py
@@ -24,6 +24,7 @@
     BUSY = 2  # retry: no majority, or the owner is changing
     RESERVED = 3  # a check: it would be accepted, and its versions are reserved for a short time
     PARTLY_TAKEN = 4  # a withdrawal: a part was accepted already, so the call must not be refused
+    LATE = 5  # the call was superseded in part, and may have been refused before that
 
 
 @dataclass(frozen=True, slots=True)
--- a/leadrudder/consensus/ownership.py
+++ b/leadrudder/consensus/ownership.py
@@ -421,6 +421,9 @@
                     return ResultCode.BUSY, [], []
                 new.append(self._successor_of(item, old))
                 continue
+            # Its version may have had another value, for which the call was refused.
+            if request.late and item.call and item.version < old.version and not self._is_taken(item):
+                return ResultCode.LATE, [], []
             # Refuse only on committed items: an item being replicated may still be discarded.
             committed = machine.committed.items.get(item.key)
             is_committed = committed is not None and committed.version >= old.version
--- a/leadrudder/consensus/requests.py
+++ b/leadrudder/consensus/requests.py
@@ -44,6 +44,7 @@
     parts: dict[int, list[Item]]
     deadline: float
     phase: Phase
+    late: bool = False  # its caller may have given up
     to_reserve: list[int] = field(default_factory=list)  # sections still to be reserved, in order
     open_requests: dict[int, int] = field(default_factory=dict)  # section of each open request, by number
     retries: list[tuple[float, int]] = field(default_factory=list)  # when to retry which sections
@@ -105,7 +106,7 @@
 
     # ------------------------------------------------------------ changes
 
-    def change(self, number: int, items: list[Item]) -> None:
+    def change(self, number: int, items: list[Item], *, late: bool = False) -> None:
         call = call_id(items) if len(items) > 1 else 0  # a single item cannot be applied in part
         parts: dict[int, list[Item]] = {}
         for item in items:
@@ -117,6 +118,7 @@
             parts,
             self._machine.step.now + CHANGE_TIMEOUT_S,
             Phase.RESERVE if multiple else Phase.APPLY,
+            late,
         )
         self._changes[number] = change
         if not parts:
@@ -162,6 +164,7 @@
             only_check=change.phase is not Phase.APPLY,
             reserved=change.phase is Phase.APPLY and len(change.parts) > 1,
             withdraw=change.phase is Phase.WITHDRAW,
+            late=change.late,
         )
         machine.send(owner, Frame(ask=request))
 
@@ -177,7 +180,7 @@
             self._withdraw_all(change, response.items)
         elif code is ResultCode.CONFLICT:
             self._finish(change, code, response.items)
-        elif code is ResultCode.PARTLY_TAKEN:
+        elif code in (ResultCode.PARTLY_TAKEN, ResultCode.LATE):
             self._finish(change, ResultCode.BUSY)
         elif code is ResultCode.BUSY and change.phase is Phase.APPLY and len(change.parts) > 1:
             change.phase = Phase.RESERVE  # the owner may be a new one without the reservations
--- a/leadrudder/consensus/state_machine.py
+++ b/leadrudder/consensus/state_machine.py
@@ -152,10 +152,13 @@
         self._dispatch(peer, frame)
         return self._end()
 
-    def change(self, number: int, items: Iterable[Item], now: float) -> list[Output]:
-        """Propose items, all or none; an Answer with this number follows, now or later."""
+    def change(self, number: int, items: Iterable[Item], now: float, *, late: bool = False) -> list[Output]:
+        """Propose items, all or none; an Answer with this number follows, now or later.
+
+        late: the caller may have given up, and may have had another answer since.
+        """
         self._begin(now)
-        self.requests.change(number, list(items))
+        self.requests.change(number, list(items), late=late)
         return self._end()
 
     def read(self, number: int, now: float) -> list[Output]:
@@ -246,7 +249,7 @@
         for key in discarded:
             self.uncommitted.pop(key, None)
         if discarded:
-            self.log(f"discards what no claim of section {section} has found: {', '.join(discarded)}")
+            self.log(f"discards {len(discarded)} items that no claim of section {section} has found")
         return {f"{INSTALLED_RECORD_PREFIX}{section}": str(epoch).encode()}
 
     def describe_voters(self) -> dict[str, Any]:
--- a/leadrudder/control_plane/operator_api.py
+++ b/leadrudder/control_plane/operator_api.py
@@ -6,7 +6,7 @@
 import dataclasses
 import json
 from collections.abc import Awaitable, Callable, Iterable
-from typing import Any
+from typing import Any, Protocol
 
 from returns.result import Failure, Success
 
@@ -24,11 +24,16 @@
 _JSON_FIELDS = b"Content-Type: application/json\r\n"
 _RETRY_AFTER = b"Retry-After: 0.2\r\n"
 
-Commit = Callable[[list[Item]], Awaitable[Answer]]
 ReadItems = Callable[[], Awaitable[Answer]]
 PackSnapshot = Callable[[Iterable[Item]], bytes]
 
 
+class Commit(Protocol):
+    """Writes items through a majority.  late: the caller may have given up."""
+
+    async def __call__(self, items: list[Item], *, late: bool = False) -> Answer: ...
+
+
 class OperatorApi:
     """committed_items: this process's view of the control state.  commit, read_items: through a majority.
 
@@ -67,7 +72,7 @@
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 match call.method, call.segments:
                     case "PATCH", ("config",):
-                        return await self._patch_config(call.body)
+                        return await self._patch_config(call)
                     case "GET", ("config",):
                         return await self._get_config()
                     case "POST", ("evacuate", zone):
@@ -99,8 +104,8 @@
         except TimeoutError:
             return ApiResponse(503, b"no majority answered in time\n", _RETRY_AFTER)
 
-    async def _patch_config(self, body: bytes) -> ApiResponse:
-        parsed = validation.parse(body)
+    async def _patch_config(self, call: ApiRequest) -> ApiResponse:
+        parsed = validation.parse(call.body)
         if isinstance(parsed, Failure):
             return self._reject(parsed.failure())
         assert isinstance(parsed, Success)
@@ -120,7 +125,7 @@
             Item(key=c.key, version=c.version, dropped=c.value is None, value=c.value or b"")
             for c in patch.changes
         ]
-        answer = await self._commit(items)
+        answer = await self._commit(items, late=not call.caller.still_waits())
         if answer.code is ResultCode.DONE:
             return ApiResponse(200, b"{}", _JSON_FIELDS)
         if answer.code is ResultCode.CONFLICT:
--- a/leadrudder/control_plane/program.py
+++ b/leadrudder/control_plane/program.py
@@ -389,9 +389,9 @@
         ]
         return snapshot.pack(items, slots, self.state_machine.promised, self._wall())
 
-    async def _commit(self, items: list[Item]) -> Answer:
+    async def _commit(self, items: list[Item], *, late: bool = False) -> Answer:
         number, future = self._new_request()
-        self._apply_outputs(self.state_machine.change(number, items, self._loop.time()))
+        self._apply_outputs(self.state_machine.change(number, items, self._loop.time(), late=late))
         return await self._wait_for_answer(number, future)
 
     async def _read_items(self) -> Answer:
--- a/leadrudder/control_simulation/world.py
+++ b/leadrudder/control_simulation/world.py
@@ -410,8 +410,15 @@
 
     # ------------------------------------------------------------ requests of operators
 
-    def submit_change(self, machine: Machine, items: list[Item], on_answer: Callable[[Answer], None]) -> None:
-        """Submit an operator's change at one machine."""
+    def submit_change(
+        self,
+        machine: Machine,
+        items: list[Item],
+        on_answer: Callable[[Answer], None],
+        *,
+        late: bool = False,
+    ) -> None:
+        """Submit an operator's change at one machine.  late: the operator may have given up."""
         if machine.process is None:
             return
         self._request_count += 1
@@ -441,7 +448,8 @@
 
         def handle_request() -> None:
             if machine.process is not None and machine.incarnation == incarnation:
-                self.apply_outputs(machine, machine.process.change(request_number, items, self.now))
+                outputs = machine.process.change(request_number, items, self.now, late=late)
+                self.apply_outputs(machine, outputs)
 
         self._run_or_defer(machine, handle_request)
 
--- a/tests/mesh/test_control.py
+++ b/tests/mesh/test_control.py
@@ -142,9 +142,11 @@
     def setUp(self) -> None:
         self.item_store = ItemStore()
         self.changes: list[list[Item]] = []
+        self.late_changes: list[list[Item]] = []
         self.answers: list[Answer] = []
 
-    async def _change(self, items: list[Item]) -> Answer:
+    async def _change(self, items: list[Item], *, late: bool = False) -> Answer:
+        self.late_changes += [items] if late else []
         self.changes.append(items)
         return self.answers.pop(0)
 
--- a/tests/mesh/test_late_orders.py
+++ b/tests/mesh/test_late_orders.py
@@ -7,7 +7,7 @@
 import unittest
 from typing import Any
 
-from bench.window import contracts
+from bench.window import contracts, route
 from leadrudder.consensus.state_machine import ControlStateMachine
 from leadrudder.emulation.fleet import CONTROL_PORT, Fleet, Machine
 from leadrudder.emulation.standins import encoded_request, http_call
@@ -102,6 +102,65 @@
         self.check_that_the_zone_gets_no_requests()
 
 
+class LateChangeTest(OrderTest):
+    """A refused call's copy was taken when it was read after the rival's next version."""
+
+    RACED, MOVED = "raced", "moved0"  # of one section
+
+    def change(self, version: int, give_up: str, *names: str) -> bytes:
+        service = next(iter(PLAN.services))
+        routes = {
+            name: {
+                **route(f"{name}.example", service, once=False),
+                "giveUp": give_up,
+                "version": f"{version:08d}",
+            }
+            for name in names
+        }
+        return json.dumps({"addOrReplace": {"routes": routes}, "remove": {"routes": []}}).encode()
+
+    def patch(self, machine: Machine, body: bytes) -> int:
+        return self.order(machine, "PATCH", "/config", body)
+
+    def patch_until_clear(self, machine: Machine, body: bytes) -> int:
+        return self.order_until_taken(machine, "PATCH", "/config", body)
+
+    def test_no_part_is_taken_of_a_change_that_the_network_held_back_until_it_was_refused(self) -> None:
+        first, other, _ = self.fleet.control_machines
+        body = self.change(1, "1000ms", self.RACED, self.MOVED)
+        self.assertEqual(self.patch_until_clear(other, body), 200)
+        refused = self.change(2, "1500ms", self.RACED, self.MOVED)
+        self.hold_back(first, "PATCH", "/config", refused)
+        self.assertEqual(self.patch_until_clear(other, self.change(2, "2000ms", self.RACED)), 200)
+        self.assertEqual(self.patch_until_clear(other, refused), 409)
+        self.assertEqual(self.patch_until_clear(other, self.change(3, "2000ms", self.RACED)), 200)
+        self.fleet.run_until(self.fleet.now + HELD_BACK_S + OPERATOR_TIMEOUT_S)
+        self.assertEqual(self.routes_in_force()[self.MOVED]["giveUp"], "1000ms")
+
+    def test_an_older_change_is_acknowledged_while_its_caller_waits(self) -> None:
+        machine = self.fleet.control_machines[0]
+        self.assertEqual(
+            self.patch_until_clear(machine, self.change(1, "1000ms", self.RACED, self.MOVED)), 200
+        )
+        self.assertEqual(self.patch_until_clear(machine, self.change(3, "2000ms", self.RACED)), 200)
+        self.assertEqual(
+            self.patch_until_clear(machine, self.change(2, "1500ms", self.RACED, self.MOVED)), 200
+        )
+        routes = self.routes_in_force()
+        self.assertEqual([routes[name]["giveUp"] for name in (self.RACED, self.MOVED)], ["2000ms", "1500ms"])
+
+    def routes_in_force(self) -> dict[str, Any]:
+        answers: list[tuple[int, bytes]] = []
+
+        async def read() -> None:
+            answers.append(await self.fleet.call_operator_api("GET", "/config", None))
+
+        self.fleet.run_operator(read)
+        self.fleet.run_until(self.fleet.now + 2.0)
+        routes: dict[str, Any] = json.loads(answers[0][1])["routes"]
+        return routes
+
+
 class LateMaintenanceOrderTest(OrderTest):
     def setUp(self) -> None:
         self.fleet = Fleet(65, PLAN, maintenance=True)
