A call over several sections is refused only once a majority confirms that no part of it was taken

Seen by callers: nothing yet; read on a related path. An owner that is cut off, or stood still, answered that it has taken no part of a refused call, though the next owner may have taken one.

Cause: the withdrawal was answered from memory, without a majority, as orders were before.

Change: the owner replicates nothing under its epoch, and answers when a majority has accepted that. No disk write.

--- a/leadrudder/consensus/ownership.py
+++ b/leadrudder/consensus/ownership.py
@@ -398,8 +398,11 @@
             self._withdrawn[item.call] = now + WITHDRAWAL_S
             if self._is_reserved(item):
                 del self._reserved[item.key, item.version]
-        taken = any(self._is_taken(item) for item in request.items)
-        self._respond(peer, request.number, ResultCode.PARTLY_TAKEN if taken else ResultCode.DONE)
+        if any(self._is_taken(item) for item in request.items):
+            self._respond(peer, request.number, ResultCode.PARTLY_TAKEN)
+            return
+        # A majority confirms that no later owner, of which this node has not heard, has accepted a part.
+        self._replicate(request.section, [], asked=(peer, request.number))
 
     def _is_taken(self, item: Item) -> bool:
         """Whether the item's own call set the version's value, even if superseded since."""
--- a/tests/mesh/test_concurrent_operators.py
+++ b/tests/mesh/test_concurrent_operators.py
@@ -8,6 +8,7 @@
 
 from leadrudder.consensus.outputs import Answer, ResultCode
 from leadrudder.consensus.requests import OperatorRequests, PendingChange, Phase
+from leadrudder.consensus.state_machine import ControlStateMachine
 from leadrudder.control_simulation.nodes import SimulatedNodes
 from leadrudder.control_simulation.scenario import FAULT_KINDS, FREEZE_KINDS, Scenario
 from leadrudder.control_simulation.world import InvariantViolation, Machine, World
@@ -53,6 +54,39 @@
         self.assertEqual(self._order(3), [ResultCode.CONFLICT])
 
 
+class RefusalsAtAStaleOwner(unittest.TestCase):
+    """A call over two sections is refused only once a majority confirms that no part of it is in force."""
+
+    def test_a_call_is_not_refused_by_an_owner_that_was_cut_off(self) -> None:
+        world = World(73)
+        world.run_until(4.0)
+        owner = next(iter(world.machines.values()))
+        process = owner.process
+        assert process is not None
+        owned = sorted(process.ownership.owned_sections())
+        self.assertGreaterEqual(len(owned), 2)
+        first, second = (self._key_in(process, section) for section in owned[:2])
+        self.assertEqual(self._send(world, owner, {second: b"theirs"}), [ResultCode.DONE])
+        others = [address for address in world.machines if address != owner.address]
+        world.partition([owner.address], others)
+        self.assertNotIn(ResultCode.CONFLICT, self._send(world, owner, {first: b"ours", second: b"ours"}))
+        world.heal()
+        world.run_until(world.now + 4.0)
+        self.assertEqual(self._send(world, owner, {first: b"ours", second: b"ours"}), [ResultCode.CONFLICT])
+
+    @staticmethod
+    def _key_in(process: ControlStateMachine, section: int) -> str:
+        return next(key for i in range(99) if process.section_of(key := f"routes/r{i}") == section)
+
+    @staticmethod
+    def _send(world: World, machine: Machine, values: dict[str, bytes]) -> list[ResultCode]:
+        codes: list[ResultCode] = []
+        items = [Item(key=key, version=2, value=value) for key, value in values.items()]
+        world.submit_change(machine, items, lambda answer: codes.append(answer.code))
+        world.run_until(world.now + 0.7)
+        return codes
+
+
 class ConcurrentChanges(unittest.TestCase):
     def setUp(self) -> None:
         self.world = World(3)
