--- a/leadrudder/consensus/ownership.py
+++ b/leadrudder/consensus/ownership.py
@@ -11,6 +11,7 @@
 from leadrudder.consensus.claim import Claim
 from leadrudder.consensus.outputs import ResultCode
 from leadrudder.consensus.quorum import Quorum
+from leadrudder.consensus.reservations import Reservations
 from leadrudder.protocol import mesh_pb2 as wire
 from leadrudder.protocol.mesh_pb2 import Frame, Item
 
@@ -21,8 +22,6 @@
 CLAIM_BACKOFF_S = 0.25  # after a failed claim, plus up to as much again at random
 OWNER_LOST_S = 0.2  # an owner that is unreachable for less may come back
 EXTRA_REPLICA_WAIT_S = 0.25  # wait for two other replicas once a majority has the items
-RESERVATION_S = 1.0  # a checked version stays reserved for its call
-WITHDRAWAL_S = 3.0  # waited_enough requests of a withdrawn call are rejected
 REBALANCE_INTERVAL_S = 1.0  # between handovers of sections
 INSTALL_AFTER_S = 1.0  # voters that missed a claim are sent the state; their status comes twice a second
 INSTALL_INTERVAL_S = 2.0  # before the state of a section is sent to the same voter again
@@ -80,9 +79,7 @@
         self._ownerless_since: dict[int, float] = {}  # sections without a reachable owner, since when
         self._announced: set[int] = set()  # sections whose owner has sent their committed items
         self._rebalanced_at = 0.0  # when this node last handed a section over
-        # Versions reserved for a call over several sections: call id and expiry, by key and version.
-        self._reserved: dict[tuple[str, int], tuple[int, float]] = {}
-        self._withdrawn: dict[int, float] = {}  # calls refused by another owner: expiry, by id
+        self._reservations = Reservations()
 
     def knows_all_sections(self) -> bool:
         """Whether this node has all committed items: an owner is announced after the items it found."""
@@ -136,7 +133,7 @@
                 replication.sent_at = now
                 self._send_replication(number, replication, [v for v in voters if v not in replication.acks])
             self._finish_if_committed(number, replication)
-        self._forget_reserved(now)
+        self._reservations.expire(now)
         self._install_at_voters(voters)
         self._rebalance(voters)
 
@@ -353,15 +350,15 @@
         code, new, pending = self._evaluate(request)
         if code is not ResultCode.DONE or request.only_check:
             if code is ResultCode.DONE:
-                self._reserve(new)
+                self._reservations.reserve(new, self._machine.step.now)
                 code = ResultCode.RESERVED
             self._respond(peer, request.number, code, self._current(request.items))
             return
-        if request.reserved and not all(self._is_reserved(item) for item in new):
+        if request.reserved and not all(self._reservations.is_reserved(item) for item in new):
             self._respond(peer, request.number, ResultCode.BUSY)
             return
         for item in new:
-            self._reserved.pop((item.key, item.version), None)
+            self._reservations.release(item)
         # Includes items taken before: under an earlier owner's epoch another item could still replace them.
         for item in new + pending:
             item.epoch = state.epoch
@@ -371,33 +368,12 @@
         # Items taken before but not committed yet are replicated along: all or none are acknowledged.
         self._replicate(request.section, new + pending, asked=(peer, request.number))
 
-    def _reserve(self, items: Iterable[Item]) -> None:
-        """Reserve versions, but none for a withdrawn call: it may be checked again, never applied."""
-        until = self._machine.step.now + RESERVATION_S
-        for item in items:
-            if item.call not in self._withdrawn:
-                self._reserved[item.key, item.version] = (item.call, until)
-
-    def _is_reserved(self, item: Item) -> bool:
-        """Whether the item's version is reserved for the item's own call."""
-        return self._reserved.get((item.key, item.version), (0, 0.0))[0] == item.call
-
-    def _forget_reserved(self, now: float) -> None:
-        for key in [k for k, (_, until) in self._reserved.items() if now >= until]:
-            del self._reserved[key]
-        for call in [c for c, until in self._withdrawn.items() if now >= until]:
-            del self._withdrawn[call]
-
     def _withdraw(self, peer: str, request: wire.ChangeRequest) -> None:
         """Another section's owner refused its part of a call: accept no part of it from now on.
 
         Answers PARTLY_TAKEN if a part was accepted already, committed or not.
         """
-        now = self._machine.step.now
-        for item in request.items:
-            self._withdrawn[item.call] = now + WITHDRAWAL_S
-            if self._is_reserved(item):
-                del self._reserved[item.key, item.version]
+        self._reservations.withdraw(request.items, self._machine.step.now)
         if any(self._is_taken(item) for item in request.items):
             self._respond(peer, request.number, ResultCode.PARTLY_TAKEN)
             return
@@ -419,8 +395,7 @@
         for item in request.items:
             old = self._latest(item.key)
             if old is None or item.version > old.version:
-                reserved_for = self._reserved.get((item.key, item.version), (item.call, 0.0))[0]
-                if reserved_for != item.call:
+                if self._reservations.is_reserved_for_another(item):
                     return ResultCode.BUSY, [], []
                 new.append(self._successor_of(item, old))
                 continue
