Soak: two operators on one version, and all control machines without power

In a blackout one control machine runs for 0.3 s without the others, gets calls of its own, loses power, and returns last with its disk.

--- a/bench/soak/planted_faults.py
+++ b/bench/soak/planted_faults.py
@@ -57,6 +57,7 @@
         dead_links,
         late_orders,
         unannounced_stop,
+        planted_faults.unfound_items_committed,
         planted_faults.read_by_one,
         planted_faults.one_copy_is_enough,
         planted_faults.drop_forgotten,
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -174,6 +174,12 @@
         with contextlib.suppress(ProcessLookupError):
             machine.process.kill()
 
+    async def lose_power(self, machine: Machine) -> None:
+        """SIGKILL, and wait for the end, so that its addresses are free."""
+        self.kill(machine)
+        assert machine.process is not None
+        await machine.process.wait()
+
     async def terminate(self, machine: Machine, timeout_s: float) -> None:
         """SIGTERM, then wait; records a violation if the process exits too late or with an error code."""
         process = machine.process
