--- a/leadrudder/control_simulation/incidents.py
+++ b/leadrudder/control_simulation/incidents.py
@@ -135,7 +135,7 @@
         world.fail(
             f"{operator.open_changes} changes unanswered after recovery, {operator.refused} were refused"
         )
-    world.check_linearizable()
+    world.answers.check_linearizable()
     nodes.check_all_delivered()
     return UnreachableResult(
         len(operator.confirmation_times_s), max(operator.confirmation_times_s), nodes.max_propagation_s()
@@ -184,7 +184,7 @@
         world.fail(
             f"{operator.open_changes} changes unanswered after recovery, {operator.refused} were refused"
         )
-    world.check_linearizable()
+    world.answers.check_linearizable()
     check_reads(world)
     return wiped[0]
 
--- a/leadrudder/control_simulation/nodes.py
+++ b/leadrudder/control_simulation/nodes.py
@@ -87,7 +87,7 @@
 
     def _check_initial_state(self, machine: Machine, store: ItemStore) -> None:
         """The initial state of a session must include what was acknowledged more than FRESH_S ago."""
-        for change in self._world.acknowledgements:
+        for change in self._world.answers.acknowledgements:
             if change.at_s > self._world.now - FRESH_AGE_S:
                 break
             item = store.items.get(change.key)
@@ -116,13 +116,13 @@
             if old is not None and new.version < old.version:
                 self._world.fail(f"a node goes back: {key} from version {old.version} to {new.version}")
             value = b"" if new.dropped else b"=" + new.value
-            if self._world.committed_values.get((key, new.version)) != value:
+            if self._world.answers.committed_values.get((key, new.version)) != value:
                 self._world.fail(f"a node has {key} version {new.version}, which was never committed")
 
     def max_propagation_s(self) -> float:
         """The longest time from the acknowledgement of a version until a node had it or a later one."""
         longest = 0.0
-        for change in self._world.acknowledgements:
+        for change in self._world.answers.acknowledgements:
             receipt_times = [
                 min(
                     (
@@ -145,7 +145,7 @@
             return
         world.run_until(world.now + PROPAGATION_BOUND_S)
         for number, node in enumerate(self.nodes):
-            for key, item in world.latest_acknowledged.items():
+            for key, item in world.answers.latest_acknowledged.items():
                 known = node.store.items.get(key)
                 if known is None or known.version < item.version:
                     world.fail(f"node {number} lacks {key} version {item.version} without faults")
--- a/leadrudder/control_simulation/scenario.py
+++ b/leadrudder/control_simulation/scenario.py
@@ -298,9 +298,9 @@
         running = [m.address for m in self._running_machines()]
         if sorted(answered) != sorted(running):
             world.fail(f"only {answered} of {running} answer without faults")
-        world.check_linearizable()
+        world.answers.check_linearizable()
         self._check_sizes(running)
-        unanswered = [items for items in self._open_changes if not world.is_partly_committed(items)]
+        unanswered = [items for items in self._open_changes if not world.answers.is_partly_committed(items)]
         if unanswered:
             world.fail(f"{len(unanswered)} changes have no answer without faults")
 
--- a/leadrudder/control_simulation/world.py
+++ b/leadrudder/control_simulation/world.py
@@ -9,19 +9,16 @@
 from __future__ import annotations
 
 import heapq
-import math
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 
-from leadrudder.configuration.item_store import ItemStore
-from leadrudder.configuration.items import SEQUENTIAL_PREFIXES
 from leadrudder.consensus.lease import MEMBER_EXPIRY
-from leadrudder.consensus.outputs import Answer, Committed, Output, ResultCode, Send, Write
+from leadrudder.consensus.outputs import Answer, Committed, Output, Send, Write
 from leadrudder.consensus.state_machine import ControlStateMachine
-from leadrudder.control_simulation.linearizability import Operation, Outcome, Register, non_linearizable_keys
+from leadrudder.control_simulation.answer_checks import AnswerChecks
 from leadrudder.protocol.mesh_pb2 import Frame, Item
 
 TICK_INTERVAL_S = 0.1
@@ -62,15 +59,6 @@
     removed: bool = False  # permanently
 
 
-@dataclass(frozen=True, slots=True)
-class AcknowledgedVersion:
-    """A version that was confirmed to an operator, and when."""
-
-    at_s: float
-    key: str
-    version: int
-
-
 @dataclass(slots=True)
 class Connection:
     """A connection between two machines, valid for one incarnation of each."""
@@ -95,11 +83,7 @@
         self.machines = {f"10.{i}.0.1:1": Machine(f"10.{i}.0.1:1", True) for i in range(machines)}
         self._connections: dict[frozenset[str], Connection] = {}
         self.blocked_directions: set[tuple[str, str]] = set()  # (from, to): no frame is delivered
-        self.committed_values: dict[tuple[str, int], bytes] = {}  # by key and version
-        self.refused_values: set[tuple[str, int, bytes]] = set()
-        self.latest_acknowledged: dict[str, Item] = {}
-        self.acknowledgements: list[AcknowledgedVersion] = []  # in order of time
-        self.history: list[Operation] = []  # changes and reads, as operators see them
+        self.answers = AnswerChecks(self.fail)
         self.section_owners: dict[tuple[int, int], str] = {}
         self.answer_callbacks: dict[tuple[str, int], Callable[[Answer], None]] = {}
         self._request_count = 0
@@ -401,12 +385,8 @@
         self.call_at(due_s, synced)
 
     def check_committed(self, machine: Machine, item: Item) -> None:
-        value = b"" if item.dropped else b"=" + item.value
-        committed = self.committed_values.setdefault((item.key, item.version), value)
-        if committed != value:
-            self.fail(f"{item.key} version {item.version} is committed with two values, at {machine.address}")
-        if (item.key, item.version, item.value) in self.refused_values:
-            self.fail(f"{item.key} version {item.version} is committed though it was refused")
+        """A machine has committed an item."""
+        self.answers.on_committed(machine.address, item)
 
     # ------------------------------------------------------------ requests of operators
 
@@ -423,24 +403,10 @@
             return
         self._request_count += 1
         request_number = self._request_count
-        start_s = self.now
-        unknown_operations = [self._operation(item, Outcome.UNKNOWN, start_s, math.inf) for item in items]
-        self.history += unknown_operations
+        change = self.answers.on_change(items, self.now)
 
         def check_answer(answer: Answer) -> None:
-            outcome = self._outcome(answer, items)
-            if outcome is not Outcome.UNKNOWN:
-                for operation in unknown_operations:
-                    self.history.remove(operation)
-                self.history += [self._operation(item, outcome, start_s, self.now) for item in items]
-            if answer.code is ResultCode.DONE:
-                for item in items:
-                    self.acknowledgements.append(AcknowledgedVersion(self.now, item.key, item.version))
-                    previous = self.latest_acknowledged.get(item.key)
-                    if previous is None or item.version > previous.version:
-                        self.latest_acknowledged[item.key] = item
-            elif answer.code is ResultCode.CONFLICT:
-                self._check_refused(items)
+            self.answers.on_change_answer(change, answer, self.now)
             on_answer(answer)
 
         self.answer_callbacks[machine.address, request_number] = check_answer
@@ -453,72 +419,17 @@
 
         self._run_or_defer(machine, handle_request)
 
-    @staticmethod
-    def _operation(item: Item, outcome: Outcome, start_s: float, end_s: float) -> Operation:
-        value = b"" if item.dropped else b"=" + item.value
-        return Operation(item.key, outcome, Register(item.version, value), start_s, end_s)
-
-    @staticmethod
-    def _outcome(answer: Answer, items: list[Item]) -> Outcome:
-        """The outcome for each item; a refusal of several items does not tell which one conflicts."""
-        if answer.code is ResultCode.DONE:
-            return Outcome.CONFIRMED
-        alone = len(items) == 1 and not items[0].key.startswith(SEQUENTIAL_PREFIXES)
-        return Outcome.REFUSED if answer.code is ResultCode.CONFLICT and alone else Outcome.UNKNOWN
-
-    def check_linearizable(self) -> None:
-        """All answers so far must be explained by one atomic register for each key."""
-        keys = non_linearizable_keys(
-            each for each in self.history if not each.key.startswith(SEQUENTIAL_PREFIXES)
-        )
-        if keys:
-            self.fail(f"the answers about {keys[0]} fit no order of events")
-
-    def is_partly_committed(self, items: Iterable[Item]) -> bool:
-        """Whether one item of a change was committed, and another has the value of another operator.
-
-        Such a change can be neither confirmed nor refused: changes over several sections are not atomic.
-        """
-        matches = [
-            self.committed_values[item.key, item.version] == (b"" if item.dropped else b"=" + item.value)
-            for item in items
-            if (item.key, item.version) in self.committed_values
-        ]
-        return any(matches) and not all(matches)
-
-    def _check_refused(self, items: Iterable[Item]) -> None:
-        """A change was refused: no item of it may be committed, before or afterwards.
-
-        Removals are skipped: another operator's removal with the same version looks the same.
-        """
-        for item in items:
-            if item.dropped or item.key.startswith(SEQUENTIAL_PREFIXES):
-                continue
-            self.refused_values.add((item.key, item.version, item.value))
-            if self.committed_values.get((item.key, item.version)) == b"=" + item.value:
-                self.fail(f"{item.key} version {item.version} was refused and is committed")
-
     def read(self, machine: Machine, on_answer: Callable[[Answer], None]) -> None:
         """Read at one machine; a result older than what was acknowledged at the start is a violation."""
         if machine.process is None:
             return
         self._request_count += 1
         request_number = self._request_count
-        acknowledged = dict(self.latest_acknowledged)
+        acknowledged = dict(self.answers.latest_acknowledged)
         start_s = self.now
 
         def check_answer(answer: Answer) -> None:
-            if answer.code is ResultCode.DONE:
-                store = ItemStore()
-                store.merge(answer.items)
-                for item in store.items.values():
-                    self.history.append(self._operation(item, Outcome.READ, start_s, self.now))
-                for key, item in acknowledged.items():
-                    item_read = store.items.get(key)
-                    if item_read is None or item_read.version < item.version:
-                        self.fail(f"read at {machine.address}: {key} is older than version {item.version}")
-                    elif item_read.version == item.version and item_read.value != item.value:
-                        self.fail(f"read at {machine.address}: {key} is not what was acknowledged")
+            self.answers.on_read_answer(machine.address, answer, acknowledged, start_s, self.now)
             on_answer(answer)
 
         self.answer_callbacks[machine.address, request_number] = check_answer
--- a/tests/mesh/test_concurrent_operators.py
+++ b/tests/mesh/test_concurrent_operators.py
@@ -147,7 +147,7 @@
 
         with mock.patch.object(OperatorRequests, "_apply_all", lose_second_owner):
             self._send(asked, self.change)
-            self._until(lambda: (self.change[0][0], 7) in world.committed_values)
+            self._until(lambda: (self.change[0][0], 7) in world.answers.committed_values)
         self.assertIsNotNone(first.process)
         return asked
 
@@ -195,7 +195,7 @@
             refused = self._send(asked, self.change)
             self._until(lambda refused=refused: bool(refused))  # type: ignore[misc]
             self.assertEqual(refused, [ResultCode.CONFLICT])
-        self.assertNotIn((self.change[0][0], 7), self.world.committed_values)
+        self.assertNotIn((self.change[0][0], 7), self.world.answers.committed_values)
 
     def test_items_committed_by_another_change_do_not_prevent_a_refusal(self) -> None:
         asked = next(iter(self.world.machines.values()))
@@ -227,7 +227,7 @@
             world.answer_callbacks[asked.address, 99] = lambda answer: None
             world.apply_outputs(asked, process.change(late.number, items, world.now))
             world.run_until(world.now + 3.0)
-        self.assertNotIn((self.change[0][0], 7), world.committed_values)
+        self.assertNotIn((self.change[0][0], 7), world.answers.committed_values)
 
     def _submit_two_changes_with_the_same_versions(self) -> list[ResultCode]:
         """Each operator submits at the owner of one item, and retries until there is a definite answer."""
--- a/tests/mesh/test_linearizability.py
+++ b/tests/mesh/test_linearizability.py
@@ -68,7 +68,7 @@
 
     def test_a_fault_that_only_the_answers_show_is_detected(self) -> None:
         world = Scenario(3, fault_count=8, change_count=24).run()
-        self.assertGreater(len(world.history), 100)
+        self.assertGreater(len(world.answers.history), 100)
         with (
             PLANTED_FAULTS["one_version_two_values"](),
             mock.patch.object(World, "fail", self._check_history_only),
@@ -95,9 +95,9 @@
         for version, value in ((2, b"a"), (2, b"a"), (2, b"b"), (1, b"c"), (3, b"d"), (3, b"a")):
             world.submit_change(machine, [Item(key="k", version=version, value=value)], lambda answer: None)
             world.run_until(world.now + 1.0)
-        outcomes = [operation.outcome for operation in world.history]
+        outcomes = [operation.outcome for operation in world.answers.history]
         self.assertEqual(outcomes, [CONFIRMED, CONFIRMED, REFUSED, CONFIRMED, CONFIRMED, REFUSED])
-        world.check_linearizable()
+        world.answers.check_linearizable()
 
 
 if __name__ == "__main__":
