Stand-in servers repeat refusals late; a node counts foreign and ambiguous answers of its server

A server can now refuse a part of what it could run (408, 421, 429, 503, 504 with Not-Run), and send a part of its refusals once more where the answer to the next, second or third further request on their connection is due.

--- a/bench/soak/machine.py
+++ b/bench/soak/machine.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from bench.soak.clients import KeepAliveClient
-from leadrudder.emulation.standins import Clients, Server
+from leadrudder.emulation.standins import Clients, Server, ServerConnection
 from leadrudder.transport.http import BufferedHttpMessage
 
 
@@ -41,11 +41,11 @@
         super().__init__(*arguments, **keywords)
         self.arrivals: list[Arrival] = []
 
-    def handle(self, message: BufferedHttpMessage, answer: Callable[[bytes], None]) -> None:
+    def handle(self, message: BufferedHttpMessage, connection: ServerConnection) -> None:
         if message.headers.get(b"target-server", b"").decode() in ("", self.id):
             attempt_id = message.headers.get(b"attempt-id", b"").decode()
             self.arrivals.append(Arrival(asyncio.get_running_loop().time(), attempt_id))
-        super().handle(message, answer)
+        super().handle(message, connection)
 
     def _run(self, message: BufferedHttpMessage, answer: Callable[[bytes], None]) -> None:
         dropped = self.rng.random() < self.drop_fraction
--- a/leadrudder/data_plane/program.py
+++ b/leadrudder/data_plane/program.py
@@ -170,6 +170,7 @@
         metrics = Metrics()
         self.state.register_metrics(metrics)
         self.traffic.register_metrics(metrics)
+        self._local_server.answer_counts.register_metrics(metrics)
         metrics.add("requests_open", lambda: self._outbound.open_requests)
         metrics.add("calls_running", lambda: self.admission.running_calls)
         metrics.add("calls_waiting", self.admission.waiting_calls)
--- a/leadrudder/data_plane/server_connections.py
+++ b/leadrudder/data_plane/server_connections.py
@@ -9,12 +9,14 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import cast
 
 from leadrudder.interface import Outcome, Readiness, ServerEntry
 from leadrudder.node.http import HttpMessage, HttpMessageError, HttpParser
 from leadrudder.node.lists import Address, EndpointUpdate
 from leadrudder.node.platform import SYSTEM, Platform
 from leadrudder.node.servers import Endpoint, HttpUpstream, UpstreamCall, UpstreamConnection
+from leadrudder.observability.metrics import Metrics
 from leadrudder.transport.http import BufferedHttpMessage, HttpReader
 
 ATTEMPT_ID_HEADER = b"attempt-id"
@@ -40,12 +42,27 @@
         return b"%sTime-Left: %d\r\n\r\n%s" % (self.head, left_ms, self.body)
 
 
+@dataclass(slots=True)
+class ServerAnswerCounts:
+    """What arrived on the connections to the local server, since the start of the process."""
+
+    foreign: int = 0  # answers to another request than the current one; discarded
+    ambiguous: int = 0  # answers whose id had been sent on the same connection before: which one is answered?
+
+    def register_metrics(self, metrics: Metrics) -> None:
+        metrics.add("server_answers_foreign_total", lambda: self.foreign)
+        metrics.add("server_answers_ambiguous_total", lambda: self.ambiguous)
+
+
 class LocalServerConnection(UpstreamConnection):
     """One connection to the local server."""
 
     def __init__(self, endpoint: Endpoint, upstream: HttpUpstream) -> None:
+        self._counts = cast(LocalServer, upstream).answer_counts
         self._had_foreign_answer = False
         self._expected_id = b""
+        self._sent_ids: set[bytes] = set()
+        self._is_repeated = False  # the current id had been sent on this connection before
         super().__init__(endpoint, upstream)
 
     def create_parser(self) -> HttpParser:
@@ -54,6 +71,8 @@
     def send(self, call: UpstreamCall) -> None:
         assert isinstance(call.render, ServerRequest)
         self._expected_id = call.render.attempt_id
+        self._is_repeated = self._expected_id in self._sent_ids
+        self._sent_ids.add(self._expected_id)
         super().send(call)
 
     def _on_response(self, message: HttpMessage) -> None:
@@ -61,8 +80,11 @@
         if self._expected_id and answer_id != self._expected_id:
             if answer_id is None:
                 raise HttpMessageError(400, "answer without an Attempt-Id header")
+            self._counts.foreign += 1
             self._had_foreign_answer = True  # answers an earlier request; ours may follow
             return
+        if self._is_repeated:
+            self._counts.ambiguous += 1
         if self._had_foreign_answer:
             message.keep_alive = False
         super()._on_response(message)
@@ -81,6 +103,7 @@
             platform=platform,
         )
         self._address = address
+        self.answer_counts = ServerAnswerCounts()
 
     def set_instance(self, instance_id: str) -> None:
         """Switch to a new instance; connections to the former one are not reused."""
--- a/leadrudder/emulation/standins.py
+++ b/leadrudder/emulation/standins.py
@@ -17,6 +17,8 @@
 
 HEARTBEAT_INTERVAL_S = 1.5
 MAX_QUEUED_REQUESTS = 4  # beside the requests that run
+NOT_RUN_STATUSES = (408, 421, 429, 503, 504)  # with which a server may refuse, saying that it has not run
+REQUESTS_BEFORE_COPY = (1, 1, 1, 2, 3)  # further requests on a connection, until a refusal is sent again
 MAX_RETRY_WAIT_SHARE = 1 / 3  # of the remaining time: the most that a client waits on a Retry-After
 MAX_ATTEMPTS = 4
 
@@ -70,13 +72,22 @@
 # ---------------------------------------------------------------- servers
 
 
-class _ServerConnection(asyncio.Protocol):
+@dataclass(slots=True)
+class LateCopy:
+    """An answer that is sent once more.  requests_until_sent: on its connection."""
+
+    data: bytes
+    requests_until_sent: int
+
+
+class ServerConnection(asyncio.Protocol):
     """One connection to a server; it carries one request at a time."""
 
     def __init__(self, server: Server) -> None:
         self._server = server
         self._reader = HttpReader(self._handle_request, requests=True)
         self._transport: asyncio.Transport | None = None
+        self._late_copies: list[LateCopy] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -88,12 +99,25 @@
         self._transport = None
 
     def _handle_request(self, message: object) -> None:
-        self._server.handle(cast(BufferedHttpMessage, message), self._answer)
-
-    def _answer(self, data: bytes) -> None:
+        self._send_late_copies()
+        self._server.handle(cast(BufferedHttpMessage, message), self)
+
+    def _send_late_copies(self) -> None:
+        """Send the copies that are due, where the answer to a new request is expected."""
+        for copy in list(self._late_copies):
+            copy.requests_until_sent -= 1
+            if copy.requests_until_sent == 0:
+                self._late_copies.remove(copy)
+                self.answer(copy.data)
+
+    def answer(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
+    def answer_again_later(self, data: bytes, requests_until_sent: int) -> None:
+        """Send an answer once more when so many further requests have arrived on this connection."""
+        self._late_copies.append(LateCopy(data, requests_until_sent))
+
 
 @dataclass(frozen=True, slots=True)
 class InternalCall:
@@ -111,6 +135,17 @@
     calls: tuple[InternalCall, ...] = ()  # in sequence
 
 
+@dataclass(frozen=True, slots=True)
+class RefusalTrouble:
+    """How often a server refuses requests that it could run, and repeats refusals.
+
+    refused_fraction: of its requests; copied_fraction: of all its refusals, which it sends once more, late.
+    """
+
+    refused_fraction: float = 0.0
+    copied_fraction: float = 0.0
+
+
 @dataclass(eq=False)
 class Server:
     """An application server.  work_s: mean duration of a request; work_by_host: replaces it for some hosts.
@@ -132,13 +167,15 @@
     runs_by_host: Counter[str] = field(default_factory=Counter)  # by host; cleared by whoever reads it
     draining: bool = False
     cold_until: float = 0.0
+    refusal_trouble: RefusalTrouble = RefusalTrouble()
+    refusal_copies: int = 0  # copies of refusals, sent or still to be sent
     running: int = 0
     waiting: deque[tuple[BufferedHttpMessage, Callable[[bytes], None]]] = field(default_factory=deque)
     _heartbeat_count: int = 0
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
-        await loop.create_server(lambda: _ServerConnection(self), *self.address)
+        await loop.create_server(lambda: ServerConnection(self), *self.address)
         self._schedule_heartbeat(self.rng.random() * 0.2)
 
     def _schedule_heartbeat(self, delay_s: float) -> None:
@@ -163,15 +200,28 @@
         await http_call(self.control_address, text, 1.0)
         self._schedule_heartbeat(HEARTBEAT_INTERVAL_S)
 
-    def handle(self, message: BufferedHttpMessage, answer: Callable[[bytes], None]) -> None:
+    def handle(self, message: BufferedHttpMessage, connection: ServerConnection) -> None:
         if message.headers.get(b"target-server", b"").decode() not in ("", self.id):
-            answer(render_response(421, self._response_headers(message) + b"Not-Run: 1\r\n", b""))
+            self._refuse(message, connection, 421)
+        elif self._occurs(self.refusal_trouble.refused_fraction):
+            self._refuse(message, connection, self.rng.choice(NOT_RUN_STATUSES))
         elif self.running < self.slots:
-            self._run(message, answer)
+            self._run(message, connection.answer)
         elif len(self.waiting) < MAX_QUEUED_REQUESTS:
-            self.waiting.append((message, answer))
+            self.waiting.append((message, connection.answer))
         else:
-            answer(render_response(503, self._response_headers(message) + b"Not-Run: 1\r\n", b""))
+            self._refuse(message, connection, 503)
+
+    def _occurs(self, probability: float) -> bool:
+        """Draws only for a probability above 0, so that runs without the trouble stay the same."""
+        return probability > 0.0 and self.rng.random() < probability
+
+    def _refuse(self, message: BufferedHttpMessage, connection: ServerConnection, status: int) -> None:
+        refusal = render_response(status, self._response_headers(message) + b"Not-Run: 1\r\n", b"")
+        connection.answer(refusal)
+        if self._occurs(self.refusal_trouble.copied_fraction):
+            self.refusal_copies += 1
+            connection.answer_again_later(refusal, self.rng.choice(REQUESTS_BEFORE_COPY))
 
     def _run(self, message: BufferedHttpMessage, answer: Callable[[bytes], None]) -> None:
         attempt_id = message.headers.get(b"attempt-id", b"").decode()
--- a/tests/mesh/test_outbound.py
+++ b/tests/mesh/test_outbound.py
@@ -11,7 +11,11 @@
 from leadrudder.data_plane.client_patience import WINDOW_S, ClientPatience
 from leadrudder.data_plane.load_balancer import ProxiedRequest
 from leadrudder.data_plane.outbound import ClientConnection, OutboundProxy
-from leadrudder.data_plane.server_connections import LocalServerConnection, ServerRequest
+from leadrudder.data_plane.server_connections import (
+    LocalServerConnection,
+    ServerAnswerCounts,
+    ServerRequest,
+)
 from leadrudder.interface import Outcome
 from leadrudder.observability.loop_lag import OVERLOAD_LAG_S
 from leadrudder.protocol.outcome import Executed, RequestFailure, ServerResponse
@@ -244,7 +248,7 @@
         loop_patch = mock.patch("asyncio.get_running_loop", return_value=Loop())
         loop_patch.start()
         self.addCleanup(loop_patch.stop)
-        self.servers = mock.Mock()
+        self.servers = mock.Mock(answer_counts=ServerAnswerCounts())
         self.connection = LocalServerConnection(mock.Mock(), self.servers)
         self.transport = Transport()
         self.connection.connection_made(cast(Any, self.transport))
