A refused request is never sent twice on one connection to its server

Cause: an answer was matched to its request by the attempt id alone. An attempt that the server had turned away was sent to it again, with the same id and often over the same pooled connection; a copy of the first refusal, which a server may send where the answer to a later request is due, was taken for the second answer while that request was at work. Class: a number that a peer may have seen before is trusted as if it were new.

Change: an attempt id goes over a connection at most once, so each answer on it has one possible request. A connection is retired after 256 requests, which bounds what it remembers.

--- a/leadrudder/data_plane/server_connections.py
+++ b/leadrudder/data_plane/server_connections.py
@@ -1,7 +1,9 @@
 """Connection pool of the local server; each answer is matched to its request by the attempt id.
 
-A server may send a surplus answer late, where the answer to the next request is expected. An answer whose
-attempt id is not that of the current request is discarded, and the connection is not reused.
+A server may send a surplus answer late, where the answer to a later request on the same connection is
+expected. An answer whose attempt id is not that of the current request is discarded, and the connection is
+not reused. The surplus answer may be the copy of a refusal, whose request may be sent again; so an attempt id
+is sent at most once on each connection.
 """
 
 from __future__ import annotations
@@ -15,7 +17,13 @@
 from leadrudder.node.http import HttpMessage, HttpMessageError, HttpParser
 from leadrudder.node.lists import Address, EndpointUpdate
 from leadrudder.node.platform import SYSTEM, Platform
-from leadrudder.node.servers import Endpoint, HttpUpstream, UpstreamCall, UpstreamConnection
+from leadrudder.node.servers import (
+    Endpoint,
+    HttpUpstream,
+    RequestRenderer,
+    UpstreamCall,
+    UpstreamConnection,
+)
 from leadrudder.observability.metrics import Metrics
 from leadrudder.transport.http import BufferedHttpMessage, HttpReader
 
@@ -24,6 +32,7 @@
 NOT_RUN_HEADER = b"not-run"
 CONNECT_TIMEOUT_S = 0.5
 SERVER_IDLE_TIMEOUT_S = 8.0
+MAX_REQUESTS_PER_CONNECTION = 256  # bounds the ids that a connection remembers
 MAX_ANSWER_BYTES = 80 * 1024 * 1024
 
 OnEnded = Callable[[Outcome, BufferedHttpMessage | None], None]
@@ -47,7 +56,7 @@
     """What arrived on the connections to the local server, since the start of the process."""
 
     foreign: int = 0  # answers to another request than the current one; discarded
-    ambiguous: int = 0  # answers whose id had been sent on the same connection before: which one is answered?
+    ambiguous: int = 0  # answers whose id had been sent on the same connection before; 0 by design
 
     def register_metrics(self, metrics: Metrics) -> None:
         metrics.add("server_answers_foreign_total", lambda: self.foreign)
@@ -68,6 +77,11 @@
     def create_parser(self) -> HttpParser:
         return HttpReader(self._on_response, requests=False, max_body_bytes=MAX_ANSWER_BYTES)
 
+    def may_carry(self, render: RequestRenderer) -> bool:
+        """Whether a surplus answer on this connection could not be taken for the answer to this request."""
+        assert isinstance(render, ServerRequest)
+        return render.attempt_id not in self._sent_ids
+
     def send(self, call: UpstreamCall) -> None:
         assert isinstance(call.render, ServerRequest)
         self._expected_id = call.render.attempt_id
@@ -85,7 +99,7 @@
             return
         if self._is_repeated:
             self._counts.ambiguous += 1
-        if self._had_foreign_answer:
+        if self._had_foreign_answer or len(self._sent_ids) >= MAX_REQUESTS_PER_CONNECTION:
             message.keep_alive = False
         super()._on_response(message)
 
--- a/leadrudder/node/servers.py
+++ b/leadrudder/node/servers.py
@@ -124,6 +124,10 @@
         assert self._transport is not None
         return not self._upstream.platform.has_unread_input(self._transport)
 
+    def may_carry(self, render: RequestRenderer) -> bool:
+        """Whether a request may be sent on this idle connection."""
+        return True
+
     def send(self, call: UpstreamCall) -> None:
         """Write the call's request, which may have run from here on."""
         assert self._transport is not None
@@ -312,7 +316,7 @@
         if endpoint is None:
             self._loop.call_soon(call.end, Outcome.CONNECT_FAILED)
             return call
-        connection = self._take_idle(endpoint)
+        connection = self._take_idle(endpoint, render)
         if connection is not None:
             connection.send(call)
             return call
@@ -345,12 +349,14 @@
         else:
             call.end(Outcome.CONNECT_FAILED)
 
-    def _take_idle(self, endpoint: Endpoint) -> UpstreamConnection | None:
-        """The most recently used idle connection that has stayed quiet long enough since its response."""
+    def _take_idle(self, endpoint: Endpoint, render: RequestRenderer) -> UpstreamConnection | None:
+        """The most recently used idle connection that may carry a request, and that has stayed quiet long
+        enough since its response.
+        """
         now = self._loop.time()
         for i in range(len(endpoint.idle) - 1, -1, -1):
             connection = endpoint.idle[i]
-            if now - connection.idle_since_s >= QUIET_BEFORE_REUSE_S:
+            if now - connection.idle_since_s >= QUIET_BEFORE_REUSE_S and connection.may_carry(render):
                 del endpoint.idle[i]
                 del self._idle[connection]
                 if now - connection.idle_since_s <= endpoint.trusted_idle_s and connection.is_quiet():
