Decisions are compiled without fused multiply-add, so that they equal the interpreted ones on arm64

tests/test_compiled.py::test_compiled_and_interpreted_decisions_are_identical failed here, on the code as it was: compilers for arm64 contract a multiplication and an addition into one instruction, which rounds once. With -ffp-contract=off it passes. The build's stamp now names the machine and the flags: a build that was carried over from another kind of machine is not used.

--- a/leadrudder/compile.py
+++ b/leadrudder/compile.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from leadrudder.compiled import (
+    COMPILER_FLAGS,
     MODULES,
     PACKAGE_PATH,
     SHARED_LIBRARY_PATTERN,
@@ -56,6 +57,8 @@
     try:
         sys.argv = ["setup.py"]  # read by setuptools
         extensions = mypycify(files, opt_level="2", debug_level="0")
+        for extension in extensions:
+            extension.extra_compile_args += COMPILER_FLAGS
         distribution = Distribution({"name": "leadrudder-compiled", "ext_modules": extensions})
         command = distribution.get_command_obj("build_ext")
         command.inplace = True
--- a/leadrudder/compiled.py
+++ b/leadrudder/compiled.py
@@ -38,6 +38,8 @@
     "state.weights",
     "state.request_value",
 )
+# Fused multiply-add, the default of compilers for arm64, rounds differently from the interpreter.
+COMPILER_FLAGS = ["-ffp-contract=off"]
 PACKAGE_PATH = Path(__file__).parent
 PURE_PYTHON_VARIABLE = "LEADRUDDER_PURE"
 STAMP_FILE = "stamp"
@@ -54,8 +56,9 @@
 
 
 def build_stamp() -> str:
-    """Digest of the interpreter version and the sources that the compiled modules must be built from."""
-    digest = hashlib.sha256(sys.version.encode())
+    """Digest of what the compiled modules must be built for, with and from: another build is not used."""
+    build = (sys.version, os.uname().machine, *COMPILER_FLAGS)
+    digest = hashlib.sha256("\n".join(build).encode())
     for module in MODULES:
         digest.update(source_path(module).read_bytes())
     return digest.hexdigest()
