No moment is left in which our code lets a SIGHUP end a program

Cause: the default action of SIGHUP ends a process, and it was in force before the first line of __main__, as `python -m` imports the package with all decisions before it, and again after the event loop had been closed, which gives each handled signal its default action back while the interpreter still ends. Class: a signal whose action is the default one for a part of the process's life.

Handlers stand before the start, so that a SIGTERM meanwhile ends the program with code 0. The programs log that they have started and that they have stopped. The single node ends and starts the same way.

--- a/bench/soak/process.py
+++ b/bench/soak/process.py
@@ -20,9 +20,9 @@
 # As both programs do at their start: until the handler is installed, SIGHUP would end the process.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-import uvloop  # noqa: E402
 from absl import logging  # noqa: E402
 
+from leadrudder.bootstrap.event_loop import ProcessLoop  # noqa: E402
 from leadrudder.bootstrap.settings import load_settings  # noqa: E402
 from leadrudder.control_plane.program import ControlPlaneNode  # noqa: E402
 from leadrudder.data_plane.program import DataPlaneNode  # noqa: E402
@@ -35,7 +35,7 @@
 STALL_S = 0.75  # longer than the timeout of a dial
 
 
-class RelayedLoop(uvloop.Loop):
+class RelayedLoop(ProcessLoop):
     """An event loop that opens connections to other machines through the relay."""
 
     def add_signal_handler(  # type: ignore[override]  # without the types of variadic arguments
--- a/leadrudder/__main__.py
+++ b/leadrudder/__main__.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
-import gc
-import logging
-import os
 import signal
-import sys
-import time
 
-import uvloop
+# A SIGHUP before its handler is installed would end the process; the imports below take most of the start.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from leadrudder.node.config import Config, ConfigError, load_config
-from leadrudder.node.node import Node
+import gc  # noqa: E402
+import logging  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+
+from leadrudder.bootstrap import event_loop  # noqa: E402
+from leadrudder.node.config import Config, ConfigError, load_config  # noqa: E402
+from leadrudder.node.node import Node  # noqa: E402
 
 
 async def _serve(config: Config, rpc_path: str) -> None:
@@ -60,13 +63,11 @@
 
 def main() -> int:
     """Exit code 0 after SIGTERM; 2, with one line on standard error, for a bad configuration."""
-    # Before the node listens there is nothing to reload, and SIGHUP's default would end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     logging.getLogger().handlers[0].addFilter(_LogRateLimit())
     try:
         config = load_config(os.environ)
-        uvloop.run(_serve(config, os.environ.get("NODE_RPC", "")))
+        event_loop.run(_serve(config, os.environ.get("NODE_RPC", "")))
     except ConfigError as error:
         print(f"leadrudder: {error}", file=sys.stderr)
         return 2
--- a/leadrudder/bootstrap/start.py
+++ b/leadrudder/bootstrap/start.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-import uvloop
 from absl import flags, logging
 from returns.result import Failure
 
+from leadrudder.bootstrap import event_loop
 from leadrudder.bootstrap.settings import FILE_VARIABLE, Settings, load_settings
 
 
@@ -40,7 +40,7 @@
         print(f"leadrudder: {settings.failure()}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(settings.unwrap(), options))
+        event_loop.run(serve(settings.unwrap(), options))
     except unusable as error:
         print(f"leadrudder: {error}", file=sys.stderr)
         return 2
--- a/leadrudder/compiled.py
+++ b/leadrudder/compiled.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import importlib
 import importlib.util
 import os
@@ -56,7 +55,8 @@
 
 
 def build_stamp() -> str:
-    """Digest of what the compiled modules must be built for, with and from: another build is not used."""
+    import hashlib  # only where there is a build: it would delay the start of every program
+
     build = (sys.version, os.uname().machine, *COMPILER_FLAGS)
     digest = hashlib.sha256("\n".join(build).encode())
     for module in MODULES:
--- a/leadrudder/control_plane/__main__.py
+++ b/leadrudder/control_plane/__main__.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import argparse
 import signal
-import sys
 
 # A SIGHUP before its handler is installed would end the process; the imports below take most of the start.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+import argparse  # noqa: E402
+import sys  # noqa: E402
+
 from leadrudder.bootstrap.settings import Settings  # noqa: E402
 from leadrudder.bootstrap.start import run_program  # noqa: E402
 from leadrudder.control_plane.program import ControlPlaneNode  # noqa: E402
--- a/leadrudder/control_plane/program.py
+++ b/leadrudder/control_plane/program.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import signal
 import socket
 import time
 from collections.abc import Callable, Iterable
@@ -13,6 +12,7 @@
 
 from leadrudder.backup import snapshot
 from leadrudder.bootstrap.log_buffer import LogBuffer
+from leadrudder.bootstrap.serving import serve_until_stopped
 from leadrudder.bootstrap.settings import Settings
 from leadrudder.configuration.item_store import ItemStore
 from leadrudder.consensus.lease import DUTIES, MAINTENANCE, MEMBER_EXPIRY
@@ -39,6 +39,7 @@
 TICK_S = 0.1
 DISK_OPEN_ATTEMPTS = 50  # of a disk that reports errors, before the program exits
 DISK_OPEN_RETRY_S = 0.2
+DISK_CLOSE_TIMEOUT_S = 0.5  # to write the last records
 REDIAL_PERIOD_S = 0.25  # between attempts to connect to another control-plane node
 MEMBERS_COMPLETE_AFTER_S = 4.0  # of contact with a majority, after which the list of members is complete
 HANDOVER_S = 0.6  # for requests in progress when this process hands over the sections it owns
@@ -148,6 +149,7 @@
             await self._api_server.listen(self.settings.control)
         self._tick()
         self._dial_missing_peers()
+        self.log_buffer.log_info("started")
 
     def _metrics(self) -> Metrics:
         metrics = Metrics()
@@ -180,11 +182,13 @@
         return self._store.open()
 
     async def run(self) -> None:
-        await self.start()
-        self._loop.add_signal_handler(signal.SIGTERM, self.terminate)
-        self._loop.add_signal_handler(signal.SIGHUP, lambda: None)
-        await self._stopped.wait()
-        self._writer.stop(0.5)
+        if not await serve_until_stopped(
+            self.start(), self._stopped, terminate=self.terminate, reload=lambda: None
+        ):
+            self.log_buffer.log_info("terminated while starting")
+            return
+        self._writer.stop(DISK_CLOSE_TIMEOUT_S)
+        self.log_buffer.log_info("stopped")
 
     # ------------------------------------------------------------ outputs of the state machine
 
--- a/leadrudder/data_plane/__main__.py
+++ b/leadrudder/data_plane/__main__.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import argparse
 import signal
-import sys
 
-# An unhandled SIGHUP would end the process, and the imports below take most of the start-up time.
+# A SIGHUP before its handler is installed would end the process; the imports below take most of the start.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+import argparse  # noqa: E402
+import sys  # noqa: E402
+
 from leadrudder.bootstrap.settings import Settings  # noqa: E402
 from leadrudder.bootstrap.start import run_program  # noqa: E402
 from leadrudder.data_plane.program import DataPlaneNode  # noqa: E402
--- a/leadrudder/data_plane/program.py
+++ b/leadrudder/data_plane/program.py
@@ -5,7 +5,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 import socket
 import time
 from collections import Counter
@@ -15,6 +14,7 @@
 from returns.result import Success
 
 from leadrudder.bootstrap.log_buffer import LogBuffer
+from leadrudder.bootstrap.serving import serve_until_stopped
 from leadrudder.bootstrap.settings import Settings, load_settings
 from leadrudder.configuration.items import Route
 from leadrudder.data_plane.admission_control import AdmissionController, ServerInstance
@@ -159,12 +159,13 @@
             await self._outbound.listen(address)
         self._session.start()
         self._tick()
+        self.log_buffer.log_info("started")
 
     async def run(self) -> None:
-        await self.start()
-        self._loop.add_signal_handler(signal.SIGTERM, self.terminate)
-        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
-        await self._done.wait()
+        if not await serve_until_stopped(
+            self.start(), self._done, terminate=self.terminate, reload=self._reload
+        ):
+            self.log_buffer.log_info("terminated while starting")
 
     def _metrics(self) -> Metrics:
         metrics = Metrics()
@@ -413,3 +414,4 @@
         self._peer_links.close()
         self._local_server.close()
         self._done.set()
+        self.log_buffer.log_info("stopped")
