A program that starts waits for addresses and disks that another process still holds

Cause: one attempt to bind each address; an address that was in use ended the program with code 2. It may be free in a moment: the process that is being replaced has not ended yet, or the port is the local port of an outgoing connection. A start beside the former process did worse than fail: it opened the disk that the former one still wrote to, and removed its files, so that what that process acknowledged afterwards would have been lost. Class: a resource of the former life taken for free.

Change: an address in use is tried again each 0.1 s for up to 75 s, longer than any grace period and than the minute for which the port of a closed connection is kept; the wait is logged, and a SIGTERM ends it. Other errors end the start as before. A disk is locked by the process that has opened it. Our own outgoing connections let others listen at their port, while they are open and after it (SO_REUSEADDR: Linux refuses the bind otherwise).

--- a/leadrudder/control_plane/program.py
+++ b/leadrudder/control_plane/program.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from collections.abc import Callable, Iterable
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from leadrudder.bootstrap.log_buffer import LogBuffer
 from leadrudder.bootstrap.serving import serve_until_stopped
 from leadrudder.bootstrap.settings import Settings
+from leadrudder.bootstrap.takeover import listen_when_free, retry_while
 from leadrudder.configuration.item_store import ItemStore
 from leadrudder.consensus.lease import DUTIES, MAINTENANCE, MEMBER_EXPIRY
 from leadrudder.consensus.outputs import Answer, Committed, LogLine, Output, Send, Write
@@ -28,7 +30,7 @@
 from leadrudder.observability.metrics import Metrics
 from leadrudder.protocol import mesh_pb2 as wire
 from leadrudder.protocol.mesh_pb2 import Frame, Item, Node
-from leadrudder.storage.store import DbmStore, DiskError, MemoryStore, Store
+from leadrudder.storage.store import DbmStore, DiskError, DiskInUseError, MemoryStore, Store
 from leadrudder.storage.writer import BatchWriter, ThreadedWriter
 from leadrudder.transport.http import ApiServer
 from leadrudder.transport.link import Link, dial
@@ -142,11 +144,16 @@
             self._loop_lag.earliest_arrival,
         )
         host, port = self.address.rsplit(":", 1)
-        self._listener = await self._loop.create_server(
-            lambda: Link(self), host, int(port), family=socket.AF_INET, backlog=512
+        self._listener = await listen_when_free(
+            lambda: self._loop.create_server(
+                lambda: Link(self), host, int(port), family=socket.AF_INET, backlog=512
+            ),
+            self.log_buffer.log_info,
         )
         if self.settings.control is not None:
-            await self._api_server.listen(self.settings.control)
+            await listen_when_free(
+                partial(self._api_server.listen, self.settings.control), self.log_buffer.log_info
+            )
         self._tick()
         self._dial_missing_peers()
         self.log_buffer.log_info("started")
@@ -175,11 +182,21 @@
         """Reads all records from the disk, with retries when it reports errors."""
         for _ in range(DISK_OPEN_ATTEMPTS):
             try:
-                return self._store.open()
+                return await self._open_store_when_free()
+            except DiskInUseError:
+                raise
             except DiskError as error:
                 self.log_buffer.record(f"disk cannot be read, retrying: {error}")
                 await asyncio.sleep(DISK_OPEN_RETRY_S)
-        return self._store.open()
+        return await self._open_store_when_free()
+
+    async def _open_store_when_free(self) -> dict[str, bytes]:
+        async def open_store() -> dict[str, bytes]:
+            return self._store.open()
+
+        return await retry_while(
+            lambda error: isinstance(error, DiskInUseError), open_store, self.log_buffer.log_info
+        )
 
     async def run(self) -> None:
         if not await serve_until_stopped(
--- a/leadrudder/data_plane/program.py
+++ b/leadrudder/data_plane/program.py
@@ -9,6 +9,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from returns.result import Success
@@ -16,6 +17,7 @@
 from leadrudder.bootstrap.log_buffer import LogBuffer
 from leadrudder.bootstrap.serving import serve_until_stopped
 from leadrudder.bootstrap.settings import Settings, load_settings
+from leadrudder.bootstrap.takeover import listen_when_free
 from leadrudder.configuration.items import Route
 from leadrudder.data_plane.admission_control import AdmissionController, ServerInstance
 from leadrudder.data_plane.inbound import InboundProxy, Withdraw, no_withdrawal
@@ -144,19 +146,23 @@
         settings = self.settings
         self.log_buffer.log_info("starting")
         host, port = self._address.rsplit(":", 1)
-        self._listener = await self._loop.create_server(
-            lambda: Link(self._incoming_calls, silence_timeout_s=30.0),
-            host,
-            int(port),
-            family=socket.AF_INET,
-            backlog=1024,
+        self._listener = await listen_when_free(
+            lambda: self._loop.create_server(
+                lambda: Link(self._incoming_calls, silence_timeout_s=30.0),
+                host,
+                int(port),
+                family=socket.AF_INET,
+                backlog=1024,
+            ),
+            self.log_buffer.log_info,
         )
-        for address in {settings.control, settings.readiness} - {None}:
-            assert address is not None
-            await self._api_server.listen(address)
-        for address in {settings.outbound} - {None}:
-            assert address is not None
-            await self._outbound.listen(address)
+        for api_address in {settings.control, settings.readiness} - {None}:
+            assert api_address is not None
+            await listen_when_free(partial(self._api_server.listen, api_address), self.log_buffer.log_info)
+        if settings.outbound is not None:
+            await listen_when_free(
+                partial(self._outbound.listen, settings.outbound), self.log_buffer.log_info
+            )
         self._session.start()
         self._tick()
         self.log_buffer.log_info("started")
--- a/leadrudder/data_plane/server_connections.py
+++ b/leadrudder/data_plane/server_connections.py
@@ -8,12 +8,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
 
 from leadrudder.interface import Outcome, Readiness, ServerEntry
+from leadrudder.node.dialling import share_local_port
 from leadrudder.node.http import HttpMessage, HttpMessageError, HttpParser
 from leadrudder.node.lists import Address, EndpointUpdate
 from leadrudder.node.platform import SYSTEM, Platform
@@ -77,6 +79,10 @@
     def create_parser(self) -> HttpParser:
         return HttpReader(self._on_response, requests=False, max_body_bytes=MAX_ANSWER_BYTES)
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        share_local_port(transport)
+
     def may_carry(self, render: RequestRenderer) -> bool:
         """Whether a surplus answer on this connection could not be taken for the answer to this request."""
         assert isinstance(render, ServerRequest)
--- a/leadrudder/node/dialling.py
+++ b/leadrudder/node/dialling.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Protocol, TypeVar
 
@@ -40,3 +41,13 @@
             protocol.on_connect_failed()
         raise
     return protocols[-1]
+
+
+def share_local_port(transport: asyncio.BaseTransport) -> None:
+    """Let a program listen at the local port of an outgoing connection, while that is open and after it.
+
+    The kernel chooses the port, and may choose one at which a program on this machine listens next.
+    """
+    connected_socket = transport.get_extra_info("socket")
+    if connected_socket is not None:
+        connected_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/leadrudder/storage/store.py
+++ b/leadrudder/storage/store.py
@@ -13,6 +13,7 @@
 
 import contextlib
 import dbm.dumb
+import fcntl
 import json
 import os
 import re
@@ -29,6 +30,7 @@
 _INDEX_LINE = re.compile(rb"'[0-9]{12}', \([0-9]+, [0-9]+\)")
 MAX_GENERATION_BATCHES = 4000  # batches, after which a new generation is started
 FORMAT = 2
+LOCK_FILE = "lock"  # in the folder of a store; empty
 
 
 class CorruptStoreError(Exception):
@@ -39,6 +41,10 @@
     """The disk failed; the batch being committed may be stored or not."""
 
 
+class DiskInUseError(DiskError):
+    """Another process has opened the disk and not closed it yet."""
+
+
 class Store(Protocol):
     """The interface of a store."""
 
@@ -94,6 +100,35 @@
     return dict(batch.records)
 
 
+class FolderLock:
+    """Excludes other processes from a folder, until it is released or the process ends."""
+
+    def __init__(self, folder: str) -> None:
+        self._path = os.path.join(folder, LOCK_FILE)
+        self._descriptor: int | None = None
+
+    def acquire(self) -> None:
+        """DiskInUseError if another process holds the lock; no effect on file systems without locks."""
+        if self._descriptor is not None:
+            return
+        descriptor = os.open(self._path, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.lockf(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except (BlockingIOError, PermissionError):
+            os.close(descriptor)
+            raise DiskInUseError(f"{self._path} is locked by another process") from None
+        except OSError:
+            os.close(descriptor)
+            return
+        self._descriptor = descriptor
+
+    def release(self) -> None:
+        """Let other processes take the lock."""
+        if self._descriptor is not None:
+            os.close(self._descriptor)
+            self._descriptor = None
+
+
 class DbmStore:
     """Records in a folder, as generations of `dbm.dumb` files."""
 
@@ -107,6 +142,7 @@
         self._batches = 0
         self._files: list[int] = []  # file descriptors of the current generation
         self._db: dbm.dumb._Database | None = None
+        self._lock = FolderLock(folder)
 
     def peek(self) -> dict[str, bytes]:
         """All records, without changing the folder; CorruptStoreError if they are damaged."""
@@ -123,6 +159,7 @@
     def open(self) -> dict[str, bytes]:
         try:
             os.makedirs(self._folder, exist_ok=True)
+            self._lock.acquire()
             found = self._generations()
             self.corrupt = ""
             try:
@@ -148,6 +185,7 @@
 
     def close(self) -> None:
         self._close_files()
+        self._lock.release()
 
     def _path(self, generation: int) -> str:
         return os.path.join(self._folder, f"g{generation:08d}")
--- a/leadrudder/transport/link.py
+++ b/leadrudder/transport/link.py
@@ -14,7 +14,7 @@
 
 from google.protobuf.message import DecodeError
 
-from leadrudder.node.dialling import open_connection
+from leadrudder.node.dialling import open_connection, share_local_port
 from leadrudder.protocol.mesh_pb2 import Frame
 
 MAX_FRAME_BYTES = 80 * 1024 * 1024  # a larger length is malformed
@@ -85,6 +85,7 @@
         if self._abandoned:
             self._transport.abort()
             return
+        share_local_port(transport)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
