Processes that open a new results file at the same moment wait for each other

Users saw: one of two processes ended with 2, 'is not a results file, or is damaged: database is locked'.

Cause: SQLite's busy timeout does not cover the change to write-ahead logging, which fails at once while another connection has the file open. Opening is now tried again as long as the busy timeout; a file in use is no longer called damaged.

Evidence: of the two new tests the first (eight openers at once, 25 files) failed at its second file before, and the second one failed on the message; both pass now.

--- a/leadrudder/experiment/store.py
+++ b/leadrudder/experiment/store.py
@@ -20,6 +20,7 @@
 SCHEMA_VERSION = 1
 APPLICATION_ID = 0x4C524558  # in the file header, to recognize databases of other programs
 BUSY_TIMEOUT_S = 30.0
+OPEN_RETRY_INTERVAL_S = 0.02
 
 _SCHEMA = """
 CREATE TABLE runs (
@@ -82,22 +83,50 @@
 _JSON_COLUMNS = ("variant", "figures", "course", "latencies", "broken", "file")
 
 
+def _is_busy(error: sqlite3.Error) -> bool:
+    """Whether another process is in the way.  The lower byte of an extended error code is its class."""
+    code = getattr(error, "sqlite_errorcode", None)
+    return code is not None and code & 0xFF in (sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED)
+
+
 class Store:
     """A results file."""
 
     def __init__(self, path: Path) -> None:
         self.path = path
         self._lock = threading.RLock()  # the pool's threads claim runs, the main thread stores them
+        self._db = self._open()
+        self._pid, self._born = os.getpid(), _process_start_time(os.getpid())
+
+    def _open(self) -> sqlite3.Connection:
+        """Open the file, as soon as no other process that opens it is in the way.
+
+        SQLite's busy timeout does not cover the change to write-ahead logging, which needs the file alone.
+        """
+        give_up_at = time.monotonic() + BUSY_TIMEOUT_S
+        while True:
+            try:
+                return self._try_to_open()
+            except sqlite3.Error as error:
+                if not _is_busy(error):
+                    raise StoreError(f"{self.path}: is not a results file, or is damaged: {error}") from None
+                if time.monotonic() > give_up_at:
+                    raise StoreError(f"{self.path}: is in use by another process: {error}") from None
+            time.sleep(OPEN_RETRY_INTERVAL_S)
+
+    def _try_to_open(self) -> sqlite3.Connection:
+        connection = sqlite3.connect(
+            self.path, timeout=BUSY_TIMEOUT_S, isolation_level=None, check_same_thread=False
+        )
         try:
-            self._db = sqlite3.connect(
-                path, timeout=BUSY_TIMEOUT_S, isolation_level=None, check_same_thread=False
-            )
+            self._db = connection
             self._initialize()
-            self._db.execute("PRAGMA journal_mode = WAL")
-            self._db.execute("PRAGMA synchronous = NORMAL")
-        except sqlite3.Error as error:
-            raise StoreError(f"{path}: is not a results file, or is damaged: {error}") from None
-        self._pid, self._born = os.getpid(), _process_start_time(os.getpid())
+            connection.execute("PRAGMA journal_mode = WAL")
+            connection.execute("PRAGMA synchronous = NORMAL")
+        except BaseException:
+            connection.close()
+            raise
+        return connection
 
     def _initialize(self) -> None:
         with self._transaction():
--- a/tests/experiment/test_results.py
+++ b/tests/experiment/test_results.py
@@ -8,6 +8,8 @@
 import sqlite3
 import subprocess
 import sys
+import threading
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +17,7 @@
 
 from leadrudder.cli import main
 from leadrudder.experiment import command
+from leadrudder.experiment import store as store_module
 from leadrudder.experiment.loader import load, shipped_experiments
 from leadrudder.experiment.plan import apply_changes
 from leadrudder.experiment.pool import Pool
@@ -75,6 +78,31 @@
     store.close()
 
 
+def test_a_new_file_may_be_opened_by_many_at_the_same_moment(tmp_path: Path) -> None:
+    openers = 8
+
+    def open_store(path: Path, barrier: threading.Barrier) -> None:
+        barrier.wait()
+        Store(path).close()
+
+    with ThreadPoolExecutor(openers) as pool:
+        for number in range(25):
+            path, barrier = tmp_path / f"{number}.sqlite", threading.Barrier(openers)
+            for opened in [pool.submit(open_store, path, barrier) for _ in range(openers)]:
+                opened.result()
+
+
+def test_a_file_in_use_is_not_called_damaged(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    path = tmp_path / "used.sqlite"
+    Store(path).close()
+    user = sqlite3.connect(path, isolation_level=None)
+    user.execute("BEGIN EXCLUSIVE")
+    monkeypatch.setattr(store_module, "BUSY_TIMEOUT_S", 0.05)
+    with pytest.raises(StoreError, match="is in use by another process"):
+        Store(path)
+    user.close()
+
+
 def test_a_claim_is_valid_while_its_process_lives(tmp_path: Path) -> None:
     path = tmp_path / "claims.sqlite"
     text = f"""
