Soak: servers that repeat refusals, signals at every moment, starts beside the former process, ports in use

The servers refuse 15% of their requests and send 70% of their refusals once more, late. SIGHUPs come from the exec of a process on and until its end, a new process may start beside the one that ends, and the control port may be another program's local port at a start.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -24,6 +24,7 @@
 from bench.soak.faults import (
     CONTROL_FAULT_KINDS,
     NODE_FAULT_KINDS,
+    TERMINATION_TIMEOUT_S,
     FaultInjector,
     FaultKinds,
     count_overlapping,
@@ -31,6 +32,7 @@
 )
 from bench.soak.machine import InvariantError
 from bench.soak.operators import Operators
+from bench.soak.restarts import Restarts
 from bench.soak.rivals import RivalOperators
 from bench.soak.world import World
 
@@ -57,6 +59,9 @@
     burst: int = 0
     burst_refused: int = 0
     burst_cut: int = 0
+    copies: int = 0
+    overlaps: int = 0
+    held_ports: int = 0
     shed: int = 0
     checks: int = 0
     ack_max_s: float = 0.0
@@ -78,7 +83,8 @@
     operators = Operators(world, Random(f"operators/{seed}"))
     rivals = RivalOperators(world, Random(f"rivals/{seed}"))
     bursts = BurstClients(world.base_port + 2, Random(f"bursts/{seed}"))
-    injector = FaultInjector(world, operators, rivals, bursts)
+    restarts = Restarts(world, Random(f"restarts/{seed}"), TERMINATION_TIMEOUT_S)
+    injector = FaultInjector(world, operators, rivals, bursts, restarts)
     evacuations = EvacuationOperator(world, Random(f"evacuations/{seed}"), injector.busy_hosts)
     await world.start()
     try:
@@ -127,6 +133,9 @@
         len(burst_requests),
         sum(each.status == 503 for each in burst_requests),
         sum(bool(each.lost_at) for each in burst_requests),
+        world.refusal_copies(),
+        restarts.overlapping,
+        restarts.held_ports,
         totals.shed,
         totals.checks,
         operators.slowest_ack_s,
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -17,6 +17,7 @@
 from bench.soak.evacuations import FaultSpan
 from bench.soak.machine import Machine
 from bench.soak.operators import Operators
+from bench.soak.restarts import Restarts
 from bench.soak.rivals import RivalOperators
 from bench.soak.world import OPERATOR_HOST, World
 
@@ -140,9 +141,15 @@
     """Injects the planned faults, each in a task of its own."""
 
     def __init__(
-        self, world: World, operators: Operators, rivals: RivalOperators, bursts: BurstClients
+        self,
+        world: World,
+        operators: Operators,
+        rivals: RivalOperators,
+        bursts: BurstClients,
+        restarts: Restarts,
     ) -> None:
         self._world, self._operators, self._rivals, self._bursts = world, operators, rivals, bursts
+        self._restarts = restarts
         self._by_host = {machine.host: machine for machine in world.machines}
         self.busy_hosts: set[str] = set()  # hosts with an active fault
         self.spans: list[FaultSpan] = []  # of the faults injected so far, as they ended
@@ -205,13 +212,13 @@
     async def _kill(self, machine: Machine, duration_s: float) -> None:
         self._world.kill(machine)
         await asyncio.sleep(duration_s)
-        await self._world.start_process(machine)
+        await self._restarts.start(machine)
 
     async def _wipe(self, machine: Machine, duration_s: float) -> None:
         self._world.kill(machine)
         await asyncio.sleep(duration_s)
         self._world.wipe_disk(machine)
-        await self._world.start_process(machine)
+        await self._restarts.start(machine)
 
     async def _terminate(self, machine: Machine, duration_s: float) -> None:
         """Restarts the process repeatedly, each time at once, until the duration is over."""
@@ -220,9 +227,7 @@
         end = asyncio.get_running_loop().time() + duration_s
         repeat = True
         while repeat:
-            self._world.reload_settings(machine)
-            await self._world.terminate(machine, TERMINATION_TIMEOUT_S)
-            await self._world.start_process(machine)
+            await self._restarts.restart(machine)
             repeat = asyncio.get_running_loop().time() < end
 
     async def _send_sighups(self, machine: Machine, duration_s: float) -> None:
--- a/bench/soak/planted_faults.py
+++ b/bench/soak/planted_faults.py
@@ -8,7 +8,9 @@
 from typing import Any
 from unittest import mock
 
+from leadrudder.bootstrap import takeover
 from leadrudder.data_plane.peer_links import PeerLinks
+from leadrudder.data_plane.server_connections import LocalServerConnection
 from leadrudder.transport.caller import Caller
 from leadrudder.transport.link import Link
 from tests.mesh import planted_faults
@@ -51,12 +53,28 @@
         yield
 
 
+@contextmanager
+def ids_sent_again() -> Iterator[None]:
+    """A connection to a server carries an attempt id more than once: the fault of issue 76."""
+    with mock.patch.object(LocalServerConnection, "may_carry", lambda connection, render: True):
+        yield
+
+
+@contextmanager
+def addresses_tried_once() -> Iterator[None]:
+    """An address or a disk in use ends the start of a program: the other fault of issue 76."""
+    with mock.patch.object(takeover, "TAKEOVER_TIMEOUT_S", 0.0):
+        yield
+
+
 PLANTED_FAULTS: dict[str, Callable[[], Any]] = {
     fault.__name__: fault
     for fault in (
         dead_links,
         late_orders,
         unannounced_stop,
+        ids_sent_again,
+        addresses_tried_once,
         planted_faults.unfound_items_committed,
         planted_faults.read_by_one,
         planted_faults.one_copy_is_enough,
--- a/bench/soak/process.py
+++ b/bench/soak/process.py
@@ -17,15 +17,12 @@
 from contextlib import AbstractContextManager, nullcontext
 from typing import Any
 
-# As both programs do at their start: until the handler is installed, SIGHUP would end the process.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+from absl import logging
 
-from absl import logging  # noqa: E402
-
-from leadrudder.bootstrap.event_loop import ProcessLoop  # noqa: E402
-from leadrudder.bootstrap.settings import load_settings  # noqa: E402
-from leadrudder.control_plane.program import ControlPlaneNode  # noqa: E402
-from leadrudder.data_plane.program import DataPlaneNode  # noqa: E402
+from leadrudder.bootstrap.event_loop import ProcessLoop
+from leadrudder.bootstrap.settings import load_settings
+from leadrudder.control_plane.program import ControlPlaneNode
+from leadrudder.data_plane.program import DataPlaneNode
 
 RELAY_ENV_VARIABLE = "LEADRUDDER_SOAK_RELAY"  # IP:PORT of the relay
 HOST_ENV_VARIABLE = "LEADRUDDER_SOAK_HOST"  # IP address of the machine that the process belongs to
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -24,6 +24,7 @@
 from bench.soak.relay import Relay
 from leadrudder.emulation.standins import (
     Clients,
+    RefusalTrouble,
     RequestKind,
     SentRequest,
     Work,
@@ -43,6 +44,7 @@
 IDLE_ROUTE_COUNT = 120
 RELAY_HOST = "127.0.9.1"
 OPERATOR_HOST = "127.0.8.1"
+REFUSAL_TROUBLE = RefusalTrouble(refused_fraction=0.15, copied_fraction=0.7)
 SERVER_SLOTS, SERVER_WORK_S = 9, 0.03
 KEEP_ALIVE_CLIENTS_PER_NODE = 2  # with one keep-alive connection each
 KEEP_ALIVE_MEAN_PAUSE_S = 0.25  # between two requests on one of these connections
@@ -70,6 +72,11 @@
 """
 
 
+def _ignore_sighups() -> None:
+    """As in an environment that covers the start of the interpreter; an ignored signal stays so at exec."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 class World:
     """seed: of all random draws here; folder: for settings files, disks and process logs."""
 
@@ -110,6 +117,7 @@
                 SERVER_WORK_S,
                 Random(self.rng.random()),
                 work_by_host={LONG_REQUESTS.host: Work(LONG_WORK_S)},
+                refusal_trouble=REFUSAL_TROUBLE,
             )
             machine.server = server
             await server.start()
@@ -135,7 +143,9 @@
                 "--plant",
                 self._planted_fault,
             ]
-            machine.process = await asyncio.create_subprocess_exec(*command, env=environment, stderr=output)
+            machine.process = await asyncio.create_subprocess_exec(
+                *command, env=environment, stderr=output, preexec_fn=_ignore_sighups
+            )
         watch_task = asyncio.ensure_future(self._watch(machine, machine.process))
         self._tasks.add(watch_task)
         watch_task.add_done_callback(self._tasks.discard)
@@ -203,8 +213,8 @@
         return SIGNALS_HANDLED_LINE.encode() not in log[machine.log_offset :]
 
     def reload_settings(self, machine: Machine) -> None:
-        """SIGHUP: reload the settings.  Not while the interpreter starts, as the signal would end it."""
-        if machine.process is not None and not machine.stopped_on_purpose and not self._starting(machine):
+        """SIGHUP: reload the settings."""
+        if machine.process is not None and not machine.stopped_on_purpose:
             self._send(machine.process, signal.SIGHUP)
 
     def wipe_disk(self, machine: Machine) -> None:
@@ -315,6 +325,10 @@
         """The requests that reached servers, with the machines of these."""
         return [(m, each) for m in self.node_machines if m.server is not None for each in m.server.arrivals]
 
+    def refusal_copies(self) -> int:
+        """How many refusals the servers sent once more."""
+        return sum(m.server.refusal_copies for m in self.node_machines if m.server is not None)
+
     def sent_requests(self) -> list[SentRequest]:
         return [
             sent
