--- a/bench/soak/restarts.py
+++ b/bench/soak/restarts.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import signal
 import socket
 from random import Random
@@ -66,8 +65,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + duration_s
         while loop.time() < end and process.returncode is None:
-            with contextlib.suppress(ProcessLookupError):
-                process.send_signal(signal.SIGHUP)
+            self._world.send(process, signal.SIGHUP)
             await asyncio.sleep(self._rng.uniform(0.0, MAX_SIGHUP_INTERVAL_S))
 
     async def _hold_control_port(self, machine: Machine) -> None:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -181,8 +181,7 @@
         """SIGKILL; synced data stays on the disk."""
         assert machine.process is not None
         machine.stopped_on_purpose = True
-        with contextlib.suppress(ProcessLookupError):
-            machine.process.kill()
+        self.send(machine.process, signal.SIGKILL)
 
     async def lose_power(self, machine: Machine) -> None:
         """SIGKILL, and wait for the end, so that its addresses are free."""
@@ -196,11 +195,11 @@
         assert process is not None
         starting = self._starting(machine)
         machine.stopped_on_purpose = True
-        self._send(process, signal.SIGTERM)
+        self.send(process, signal.SIGTERM)
         try:
             code = await asyncio.wait_for(process.wait(), timeout_s)
         except TimeoutError:
-            process.kill()
+            self.send(process, signal.SIGKILL)
             code = await process.wait()
         if code and not (starting and code == -signal.SIGTERM):
             self.unexpected_exits.append(
@@ -215,7 +214,7 @@
     def reload_settings(self, machine: Machine) -> None:
         """SIGHUP: reload the settings."""
         if machine.process is not None and not machine.stopped_on_purpose:
-            self._send(machine.process, signal.SIGHUP)
+            self.send(machine.process, signal.SIGHUP)
 
     def wipe_disk(self, machine: Machine) -> None:
         """Delete the disk of a machine whose process is down."""
@@ -231,28 +230,33 @@
 
     def _signal(self, machine: Machine, signal_number: signal.Signals) -> None:
         if machine.process is not None and not machine.stopped_on_purpose:
-            self._send(machine.process, signal_number)
+            self.send(machine.process, signal_number)
 
     @staticmethod
-    def _send(process: asyncio.subprocess.Process, signal_number: signal.Signals) -> None:
-        with contextlib.suppress(ProcessLookupError):
-            process.send_signal(signal_number)
+    def send(process: asyncio.subprocess.Process, signal_number: signal.Signals) -> None:
+        """Send a signal unless the process has ended.
+
+        The process object's own send_signal may reap an ended process before asyncio, which then reports exit
+        code 255.
+        """
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, signal_number)
 
     async def shut_down(self) -> list[str]:
         """SIGTERM to all; describes the processes that exited with an error code or too late."""
         for machine in self.machines:
             machine.stopped_on_purpose = True
             if machine.process is not None:
-                with contextlib.suppress(ProcessLookupError):
-                    machine.process.send_signal(signal.SIGCONT)
-                    machine.process.terminate()
+                self.send(machine.process, signal.SIGCONT)
+                self.send(machine.process, signal.SIGTERM)
         errors = []
         for machine in self.machines:
             if machine.process is not None:
                 try:
                     code = await asyncio.wait_for(machine.process.wait(), 8.0)
                 except TimeoutError:
-                    machine.process.kill()
+                    self.send(machine.process, signal.SIGKILL)
                     code = await machine.process.wait()
                 if code:
                     errors.append(f"{machine.role} {machine.host} exited with code {code} on shutdown")
