--- a/tests/mesh/programs.py
+++ b/tests/mesh/programs.py
@@ -15,7 +15,7 @@
 from leadrudder.mesh.demo import free_port
 
 PROGRAMS = ("leadrudder.data_plane", "leadrudder.control_plane")
-HOST = "127.0.0.1"
+HOST = "127.0.11.1"  # outgoing connections have another local address, so that their ports do not matter
 START_TIMEOUT_S = 20.0
 SETTINGS = """nodeName = "n"
 zone = "z"
