Soak: a process ended unexpectedly if the soak has not ended it itself

Its log: the only SIGKILL of that process is the soak's own, 1 s before the machine's next process was started; the flag that the end was meant stood on the machine, and the next start had cleared it when the late end was noticed. It is kept for each process now, which also covers processes that were replaced meanwhile and were not looked at before.

--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -94,6 +94,7 @@
             Machine(f"127.0.2.{i + 1}", i % 3, SERVICES[i % len(SERVICES)]) for i in range(node_count)
         ]
         self.unexpected_exits: list[str] = []  # processes that exited although nothing stopped them
+        self._ended_on_purpose: set[asyncio.subprocess.Process] = set()  # by SIGKILL or SIGTERM
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -153,7 +154,7 @@
     async def _watch(self, machine: Machine, process: asyncio.subprocess.Process) -> None:
         code = await process.wait()
         machine.exit_times.append(asyncio.get_running_loop().time())
-        if not machine.stopped_on_purpose and machine.process is process:
+        if process not in self._ended_on_purpose:
             self.unexpected_exits.append(
                 f"{machine.role} {machine.host} exited unexpectedly with code {code}"
             )
@@ -181,6 +182,7 @@
         """SIGKILL; synced data stays on the disk."""
         assert machine.process is not None
         machine.stopped_on_purpose = True
+        self._ended_on_purpose.add(machine.process)
         self.send(machine.process, signal.SIGKILL)
 
     async def lose_power(self, machine: Machine) -> None:
@@ -195,6 +197,7 @@
         assert process is not None
         starting = self._starting(machine)
         machine.stopped_on_purpose = True
+        self._ended_on_purpose.add(process)
         self.send(process, signal.SIGTERM)
         try:
             code = await asyncio.wait_for(process.wait(), timeout_s)
@@ -248,6 +251,7 @@
         for machine in self.machines:
             machine.stopped_on_purpose = True
             if machine.process is not None:
+                self._ended_on_purpose.add(machine.process)
                 self.send(machine.process, signal.SIGCONT)
                 self.send(machine.process, signal.SIGTERM)
         errors = []
