The disk thread outlives every error, and a full disk does not fill up further

Now the thread reports any exception and tries the batch again, and a generation that cannot be completed is removed and its number used again. The older complete one stays until a newer one is synced, as before.

--- a/leadrudder/storage/store.py
+++ b/leadrudder/storage/store.py
@@ -41,6 +41,10 @@
     """The disk failed; the batch being committed may be stored or not."""
 
 
+class UnusableDiskError(DiskError):
+    """The records cannot be used, now or later: their format is of a later release."""
+
+
 class DiskInUseError(DiskError):
     """Another process has opened the disk and not closed it yet."""
 
@@ -49,7 +53,7 @@
     """The interface of a store."""
 
     def open(self) -> dict[str, bytes]:
-        """Return all records; DiskError if they cannot be read."""
+        """Return all records; DiskError if they cannot be read now, UnusableDiskError if never."""
 
     def commit(self, records: Mapping[str, bytes]) -> None:
         """Put a batch on disk; DiskError if that is uncertain."""
@@ -96,7 +100,7 @@
     except (ValueError, KeyError, TypeError, AttributeError, DecodeError):
         return None
     if batch.format != FORMAT:
-        raise DiskError(f"format {batch.format} is not known to this release")
+        raise UnusableDiskError(f"format {batch.format} is not known to this release")
     return dict(batch.records)
 
 
@@ -138,7 +142,8 @@
         self._folder = folder
         self._records: dict[str, bytes] = {}
         self.corrupt = ""  # the damaged record and file, if any: the disk then counts as lost
-        self._generation = 0
+        self._generation = 0  # the newest one that is complete
+        self._obsolete: set[int] = set()  # older generations, whose files may still be there
         self._batches = 0
         self._files: list[int] = []  # file descriptors of the current generation
         self._db: dbm.dumb._Database | None = None
@@ -146,11 +151,15 @@
 
     def peek(self) -> dict[str, bytes]:
         """All records, without changing the folder; CorruptStoreError if they are damaged."""
+        return self._newest_records()[1]
+
+    def _newest_records(self) -> tuple[int, dict[str, bytes]]:
+        """The newest complete generation and its records; 0 if there is none."""
         for generation in reversed(self._generations()):
             read = self._read_generation(generation)
             if read is not None:
-                return read
-        return {}
+                return generation, read
+        return 0, {}
 
     def _generations(self) -> list[int]:
         """The generations in the folder, oldest first."""
@@ -163,10 +172,10 @@
             found = self._generations()
             self.corrupt = ""
             try:
-                self._records = self.peek()
+                newest, self._records = self._newest_records()
             except CorruptStoreError as corrupt:
-                self.corrupt, self._records = str(corrupt), {}
-            self._start_generation(max(found, default=0) + 1, found)
+                newest, self.corrupt, self._records = max(found), str(corrupt), {}
+            self._start_generation(newest + 1, found)
         except (OSError, dbm.dumb.error) as error:
             raise DiskError(str(error)) from None
         return dict(self._records)
@@ -179,9 +188,9 @@
             else:
                 self._append(records)
                 self._records.update(records)
-        except (OSError, dbm.dumb.error) as error:
+        except Exception as error:
             self._close_files()  # the outcome is unknown: the next batch goes to a new generation
-            raise DiskError(str(error)) from None
+            raise DiskError(str(error) if isinstance(error, OSError) else repr(error)) from error
 
     def close(self) -> None:
         self._close_files()
@@ -229,27 +238,39 @@
         return records
 
     def _start_generation(self, generation: int, older: list[int]) -> None:
-        """Start a new generation with all records; remove older ones once it is on disk."""
+        """Start a new generation with all records; remove older ones once it is on disk.
+
+        One that cannot be completed is removed, as a full disk needs the room.
+        """
         self._close_files()
-        path = self._path(generation)
         self._remove(generation)
-        self._generation, self._batches = generation, 0
-        self._db = dbm.dumb.open(path, "n", 0o600)  # noqa: SIM115 - closed by _close_files
-        self._append(self._records, new=True)
-        for old in older:
-            if old != generation:
-                self._remove(old)
-
-    def _append(self, records: Mapping[str, bytes], *, new: bool = False) -> None:
+        self._batches = 0
+        try:
+            self._db = dbm.dumb.open(self._path(generation), "n", 0o600)  # noqa: SIM115 - see _close_files
+            self._append(self._records, new_generation=generation)
+        except BaseException:
+            self._close_files()
+            with contextlib.suppress(OSError):
+                self._remove(generation)
+            raise
+        self._generation = generation
+        self._obsolete.update(each for each in older if each != generation)
+        for obsolete in list(self._obsolete):
+            with contextlib.suppress(OSError):  # tried again with the next generation
+                self._remove(obsolete)
+                self._obsolete.discard(obsolete)
+
+    def _append(self, records: Mapping[str, bytes], *, new_generation: int | None = None) -> None:
         assert self._db is not None
         self._db[f"{self._batches:012d}"] = encode_batch(records)
         self._batches += 1
-        if new:
-            path = self._path(self._generation)
-            self._files = [os.open(path + ending, os.O_RDWR) for ending in (".dat", ".dir")]
+        if new_generation is not None:
+            path = self._path(new_generation)
+            for ending in (".dat", ".dir"):
+                self._files.append(os.open(path + ending, os.O_RDWR))
         for descriptor in self._files:
             os.fsync(descriptor)
-        if new:
+        if new_generation is not None:
             folder = os.open(self._folder, os.O_RDONLY)
             try:
                 os.fsync(folder)
--- a/leadrudder/storage/writer.py
+++ b/leadrudder/storage/writer.py
@@ -36,7 +36,9 @@
         self._lock = threading.Condition()
         self._pending: dict[str, bytes] = {}
         self._callbacks: list[Callback] = []
-        self._writing = False
+        # The batch that is being written: its records, and what to call when they are on disk.
+        self._batch: dict[str, bytes] = {}
+        self._batch_callbacks: list[Callback] = []
         self._stopped = False
         self._thread = threading.Thread(target=self._work, name="depot", daemon=True)
         self._thread.start()
@@ -50,7 +52,7 @@
     def after(self, done: Callback) -> None:
         """Call done once all records put so far are on disk; immediately if none are pending."""
         with self._lock:
-            if self._writing or self._callbacks:
+            if self._batch_callbacks or self._callbacks:
                 self._callbacks.append(done)
                 return
         done()
@@ -63,31 +65,41 @@
         self._thread.join(wait_s)
 
     def _work(self) -> None:
+        """Write batches until stopped.  The thread outlives every error, as only it can write."""
         while True:
-            with self._lock:
-                while not self._callbacks and not self._stopped:
-                    self._lock.wait()
-                if not self._callbacks:
+            try:
+                if not self._take_batch():
                     self._store.close()
                     return
-                records, self._pending = self._pending, {}
-                callbacks, self._callbacks = self._callbacks, []
-                self._writing = True
-            while records:
-                try:
-                    self._store.commit(records)
-                    break
-                except DiskError as error:
-                    self._call(lambda error=error: self._report(f"disk error, retrying the batch: {error}"))  # type: ignore[misc]
-                    with self._lock:
-                        if self._stopped:
-                            return
-                        self._lock.wait(RETRY_DELAY_S)
+                if self._batch:
+                    self._store.commit(self._batch)
+            except Exception as error:
+                self._report_error(error)
+                with self._lock:
+                    if self._stopped:
+                        return
+                    self._lock.wait(RETRY_DELAY_S)
+                continue
             with self._lock:
-                self._writing = False
-            for done in callbacks:
+                written, self._batch, self._batch_callbacks = self._batch_callbacks, {}, []
+            for done in written:
                 self._call(done)
 
+    def _take_batch(self) -> bool:
+        """Wait for records, unless a batch is still to be written; False if the thread is to end."""
+        with self._lock:
+            if self._batch_callbacks:
+                return True
+            while not self._callbacks and not self._stopped:
+                self._lock.wait()
+            self._batch, self._pending = self._pending, {}
+            self._batch_callbacks, self._callbacks = self._callbacks, []
+            return bool(self._batch_callbacks)
+
+    def _report_error(self, error: Exception) -> None:
+        text = str(error) if isinstance(error, DiskError) else repr(error)
+        self._call(lambda: self._report(f"disk error, retrying the batch: {text}"))
+
     def _call(self, done: Callback) -> None:
         try:
             self._loop.call_soon_threadsafe(done)
--- a/tests/mesh/test_store.py
+++ b/tests/mesh/test_store.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import tempfile
 import unittest
+from collections.abc import Mapping
 from pathlib import Path
 from unittest import mock
 
 from leadrudder.storage import store as store_module
 from leadrudder.storage.store import DbmStore, MemoryStore, Store
+from leadrudder.storage.writer import ThreadedWriter
 
 
 class StoreContract:
@@ -131,6 +134,59 @@
         self.assertIn("record 0", store.corrupt)
         self.assertEqual(self.reopened().open(), {}, "the store stays empty")
 
+    def test_a_full_disk_does_not_fill_up_further_while_batches_are_retried(self) -> None:
+        store = self.reopened()
+        store.open()
+        store.commit({"a": b"1"})
+        files = len(self._files(""))
+        with mock.patch("os.fsync", side_effect=OSError(28, "No space left on device")):
+            for _ in range(20):
+                with self.assertRaises(store_module.DiskError):
+                    store.commit({"b": b"2"})
+        self.assertLessEqual(len(self._files("")), files)
+        store.commit({"b": b"2"})
+        store.close()
+        self.assertEqual(self.reopened().open(), {"a": b"1", "b": b"2"})
+        self.assertEqual(len(self._files(".dat")), 1)
+
+    def test_a_disk_with_errors_at_the_start_keeps_its_records_and_gets_no_further_files(self) -> None:
+        self._kill_after_two_batches()
+        files = len(self._files(""))
+        store = DbmStore(str(self.folder))
+        with mock.patch("os.fsync", side_effect=OSError(5, "Input/output error")):
+            for _ in range(20):
+                with self.assertRaises(store_module.DiskError):
+                    store.open()
+        self.assertLessEqual(len(self._files("")), files + 1)  # the lock
+        self.assertEqual(store.open(), {"a": b"1", "b": b"2"})
+        store.close()
+
+    def test_an_unexpected_exception_leaves_no_batch_unwritten(self) -> None:
+        reports: list[str] = []
+
+        async def write() -> None:
+            store = self.reopened()
+            store.open()
+            writer = ThreadedWriter(store, reports.append)
+            written = asyncio.Event()
+            failures = [ValueError("unheard of"), MemoryError()]
+            encode = store_module.encode_batch
+
+            def encode_batch(records: Mapping[str, bytes]) -> bytes:
+                if failures:
+                    raise failures.pop()
+                return encode(records)
+
+            with mock.patch.object(store_module, "encode_batch", encode_batch):
+                writer.put({"a": b"1"}, written.set)
+                async with asyncio.timeout(5.0):
+                    await written.wait()
+            writer.stop(1.0)
+
+        asyncio.run(write())
+        self.assertEqual(self.reopened().open(), {"a": b"1"})
+        self.assertTrue(any("unheard of" in line for line in reports), reports)
+
     def test_everything_is_synced_before_commit_returns(self) -> None:
         synced: list[str] = []
 
