Start and end: a SIGTERM, a late address or a disk with errors is no failed start; an end names its reason

Cause: signals had their default action until the event loop ran; errors that pass by themselves were given a fixed number of tries. Now SIGTERM is handled from the first line of each program (code 0, 'terminated while starting'); a disk with errors is waited for without a bound, an address that is not there yet for 75 s as one in use; the API addresses are taken first and answer 503 with what the start waits for; the disk is opened in a thread, so that one that hangs does not keep the program from answering or ending. Any exception that ends a program is the last line of its log.

--- a/leadrudder/__main__.py
+++ b/leadrudder/__main__.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import signal
+from leadrudder.bootstrap.early_signals import handle_early_signals
 
-# A SIGHUP before its handler is installed would end the process; the imports below take most of the start.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+handle_early_signals()  # before the imports below, which take most of the start
 
 import gc  # noqa: E402
 import logging  # noqa: E402
--- a/leadrudder/bootstrap/start.py
+++ b/leadrudder/bootstrap/start.py
@@ -4,6 +4,7 @@
 
 import argparse
 import sys
+import traceback
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -21,10 +22,10 @@
     unusable: tuple[type[Exception], ...] = (OSError,),
     arguments: list[str] | None = None,
 ) -> int:
-    """Run a program; the exit code is 0 after SIGTERM and 2 for unusable settings, addresses or disks.
+    """Run a program; the exit code is 0 after SIGTERM, and 2 for unusable settings, addresses or disks.
 
-    The latter are reported by one line on standard error.  unusable: the exceptions by which serve reports
-    them.
+    It is 1 after any other exception.  The last line on standard error names the reason of an exit code other
+    than 0.  unusable: the exceptions by which serve reports unusable addresses or disks.
     """
     description = f"leadrudder's {about}. {FILE_VARIABLE} holds the path of its settings file."
     parser = argparse.ArgumentParser(prog=f"python -m {program}", description=description)
@@ -44,4 +45,8 @@
     except unusable as error:
         print(f"leadrudder: {error}", file=sys.stderr)
         return 2
+    except Exception as error:
+        traceback.print_exc()
+        print(f"leadrudder: ended by an unexpected error: {error!r}", file=sys.stderr)
+        return 1
     return 0
--- a/leadrudder/control_plane/program.py
+++ b/leadrudder/control_plane/program.py
@@ -6,16 +6,17 @@
 import contextlib
 import socket
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
 from leadrudder.backup import snapshot
+from leadrudder.bootstrap.daemon_thread import run_in_daemon_thread
 from leadrudder.bootstrap.log_buffer import LogBuffer
 from leadrudder.bootstrap.serving import serve_until_stopped
 from leadrudder.bootstrap.settings import Settings
-from leadrudder.bootstrap.takeover import listen_when_free, retry_while
+from leadrudder.bootstrap.takeover import TAKEOVER_TIMEOUT_S, Startup
 from leadrudder.configuration.item_store import ItemStore
 from leadrudder.consensus.lease import DUTIES, MAINTENANCE, MEMBER_EXPIRY
 from leadrudder.consensus.outputs import Answer, Committed, LogLine, Output, Send, Write
@@ -30,23 +31,30 @@
 from leadrudder.observability.metrics import Metrics
 from leadrudder.protocol import mesh_pb2 as wire
 from leadrudder.protocol.mesh_pb2 import Frame, Item, Node
-from leadrudder.storage.store import DbmStore, DiskError, DiskInUseError, MemoryStore, Store
+from leadrudder.storage.store import (
+    DbmStore,
+    DiskError,
+    DiskInUseError,
+    MemoryStore,
+    Store,
+    UnusableDiskError,
+)
 from leadrudder.storage.writer import BatchWriter, ThreadedWriter
-from leadrudder.transport.http import ApiServer
+from leadrudder.transport.http import ApiRequest, ApiResponse, ApiServer
 from leadrudder.transport.link import Link, dial
 
 if TYPE_CHECKING:
     from leadrudder.control_plane.maintenance import MaintenanceCoordinator
 
 TICK_S = 0.1
-DISK_OPEN_ATTEMPTS = 50  # of a disk that reports errors, before the program exits
-DISK_OPEN_RETRY_S = 0.2
 DISK_CLOSE_TIMEOUT_S = 0.5  # to write the last records
 REDIAL_PERIOD_S = 0.25  # between attempts to connect to another control-plane node
 MEMBERS_COMPLETE_AFTER_S = 4.0  # of contact with a majority, after which the list of members is complete
 HANDOVER_S = 0.6  # for requests in progress when this process hands over the sections it owns
 EXIT_MARGIN_S = 1.5  # before the end of the grace period, by which the process has exited in any case
 
+OpenStore = Callable[[], dict[str, bytes]]
+
 
 class ControlPlaneNode:
     """The control-plane process: one event loop, and one thread for disk writes."""
@@ -61,6 +69,7 @@
         writer: Callable[[Store, Callable[[str], None]], BatchWriter] = ThreadedWriter,
         store: Store | None = None,
         monotonic: Callable[[], float] | None = None,
+        run_blocking: Callable[[OpenStore], Awaitable[dict[str, bytes]]] = run_in_daemon_thread,
     ) -> None:
         """maintenance_windows: whether maintenance windows are carried out.  The rest is for simulation."""
         self.settings = settings
@@ -91,8 +100,19 @@
         self._members_complete_at = float("inf")
         self._stopped = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._run_blocking = run_blocking
+        self._startup = Startup(self.log_buffer.log_info)
+        self._operator_api: OperatorApi | None = None
+        self._api_server = ApiServer(
+            self._dispatch,
+            lambda e: self.log_buffer.log_warning(f"unhandled exception in an operator request: {e!r}"),
+            self._monotonic,
+            self._loop_lag.earliest_arrival,
+        )
 
     async def start(self) -> None:
+        if self.settings.control is not None:
+            await self._startup.listen(partial(self._api_server.listen, self.settings.control))
         records = await self._open_store()
         corruption = getattr(self._store, "corrupt", "")
         if corruption:
@@ -123,7 +143,7 @@
                 self._loop.time,
             )
         self._orders = OrderExecutor(self._committed_items, self._commit, self.log_buffer)
-        operator_api = OperatorApi(
+        self._operator_api = OperatorApi(
             self._committed_items,
             self._commit,
             self._read_items,
@@ -137,23 +157,13 @@
             self._metrics().text,
             self._orders,
         )
-        self._api_server = ApiServer(
-            operator_api.dispatch,
-            lambda e: self.log_buffer.log_warning(f"unhandled exception in an operator request: {e!r}"),
-            self._monotonic,
-            self._loop_lag.earliest_arrival,
-        )
         host, port = self.address.rsplit(":", 1)
-        self._listener = await listen_when_free(
+        self._listener = await self._startup.listen(
             lambda: self._loop.create_server(
                 lambda: Link(self), host, int(port), family=socket.AF_INET, backlog=512
-            ),
-            self.log_buffer.log_info,
-        )
-        if self.settings.control is not None:
-            await listen_when_free(
-                partial(self._api_server.listen, self.settings.control), self.log_buffer.log_info
             )
+        )
+        self._startup.finished = True
         self._tick()
         self._dial_missing_peers()
         self.log_buffer.log_info("started")
@@ -178,24 +188,28 @@
         metrics.add_labelled("invariant_violations_total", "name", lambda: self.invariants.violations)
         return metrics
 
+    async def _dispatch(self, request: ApiRequest) -> ApiResponse:
+        """Handle a request of an operator, or say what the start waits for."""
+        if self._operator_api is None or not self._startup.finished:
+            return self._startup.respond(request)
+        return await self._operator_api.dispatch(request)
+
     async def _open_store(self) -> dict[str, bytes]:
-        """Reads all records from the disk, with retries when it reports errors."""
-        for _ in range(DISK_OPEN_ATTEMPTS):
-            try:
-                return await self._open_store_when_free()
-            except DiskInUseError:
-                raise
-            except DiskError as error:
-                self.log_buffer.record(f"disk cannot be read, retrying: {error}")
-                await asyncio.sleep(DISK_OPEN_RETRY_S)
-        return await self._open_store_when_free()
-
-    async def _open_store_when_free(self) -> dict[str, bytes]:
+        """Read all records from the disk, as soon as it is free and reports no errors."""
+
         async def open_store() -> dict[str, bytes]:
-            return self._store.open()
+            return await self._run_blocking(self._store.open)
 
-        return await retry_while(
-            lambda error: isinstance(error, DiskInUseError), open_store, self.log_buffer.log_info
+        async def open_when_free() -> dict[str, bytes]:
+            return await self._startup.retry_while(
+                lambda error: isinstance(error, DiskInUseError), open_store, TAKEOVER_TIMEOUT_S
+            )
+
+        return await self._startup.retry_while(
+            lambda error: (
+                isinstance(error, DiskError) and not isinstance(error, DiskInUseError | UnusableDiskError)
+            ),
+            open_when_free,
         )
 
     async def run(self) -> None:
--- a/leadrudder/data_plane/program.py
+++ b/leadrudder/data_plane/program.py
@@ -17,7 +17,7 @@
 from leadrudder.bootstrap.log_buffer import LogBuffer
 from leadrudder.bootstrap.serving import serve_until_stopped
 from leadrudder.bootstrap.settings import Settings, load_settings
-from leadrudder.bootstrap.takeover import listen_when_free
+from leadrudder.bootstrap.takeover import Startup
 from leadrudder.configuration.items import Route
 from leadrudder.data_plane.admission_control import AdmissionController, ServerInstance
 from leadrudder.data_plane.inbound import InboundProxy, Withdraw, no_withdrawal
@@ -41,7 +41,7 @@
 from leadrudder.protocol import mesh_pb2 as wire
 from leadrudder.protocol.mesh_pb2 import ForwardRequest, ForwardResponse
 from leadrudder.protocol.outcome import Executed
-from leadrudder.transport.http import ApiServer
+from leadrudder.transport.http import ApiRequest, ApiResponse, ApiServer
 from leadrudder.transport.link import Link
 
 TICK_INTERVAL_S = 0.25
@@ -129,9 +129,12 @@
             BODY_MEMORY_FRACTION * settings.memory_limit_mb * 1e6,
             self._lag.seconds,
         )
-        server_api = ServerApi(self._on_heartbeat, self._on_deregistered, self.ready, self._metrics().text)
+        self._startup = Startup(self.log_buffer.log_info)
+        self._server_api = ServerApi(
+            self._on_heartbeat, self._on_deregistered, self.ready, self._metrics().text
+        )
         self._api_server = ApiServer(
-            server_api.dispatch, lambda error: self.log_buffer.log_warning(f"unhandled API error: {error!r}")
+            self._dispatch, lambda error: self.log_buffer.log_warning(f"unhandled API error: {error!r}")
         )
         self._session = Session(
             settings.seed_link_addresses,
@@ -145,24 +148,22 @@
     async def start(self) -> None:
         settings = self.settings
         self.log_buffer.log_info("starting")
+        for api_address in {settings.control, settings.readiness} - {None}:
+            assert api_address is not None
+            await self._startup.listen(partial(self._api_server.listen, api_address))
         host, port = self._address.rsplit(":", 1)
-        self._listener = await listen_when_free(
+        self._listener = await self._startup.listen(
             lambda: self._loop.create_server(
                 lambda: Link(self._incoming_calls, silence_timeout_s=30.0),
                 host,
                 int(port),
                 family=socket.AF_INET,
                 backlog=1024,
-            ),
-            self.log_buffer.log_info,
+            )
         )
-        for api_address in {settings.control, settings.readiness} - {None}:
-            assert api_address is not None
-            await listen_when_free(partial(self._api_server.listen, api_address), self.log_buffer.log_info)
         if settings.outbound is not None:
-            await listen_when_free(
-                partial(self._outbound.listen, settings.outbound), self.log_buffer.log_info
-            )
+            await self._startup.listen(partial(self._outbound.listen, settings.outbound))
+        self._startup.finished = True
         self._session.start()
         self._tick()
         self.log_buffer.log_info("started")
@@ -173,6 +174,12 @@
         ):
             self.log_buffer.log_info("terminated while starting")
 
+    async def _dispatch(self, request: ApiRequest) -> ApiResponse:
+        """Handle a request of the local server or the platform, or say what the start waits for."""
+        if not self._startup.finished:
+            return self._startup.respond(request)
+        return await self._server_api.dispatch(request)
+
     def _metrics(self) -> Metrics:
         metrics = Metrics()
         self.state.register_metrics(metrics)
--- a/leadrudder/emulation/fleet.py
+++ b/leadrudder/emulation/fleet.py
@@ -96,6 +96,11 @@
     start_count: int = 0
 
 
+async def _run_at_once(function: Callable[[], dict[str, bytes]]) -> dict[str, bytes]:
+    """The result of a call that takes no virtual time."""
+    return function()
+
+
 @dataclass(frozen=True, slots=True)
 class FleetPlan:
     """The layout and load of a mesh.  services: number of servers by name; request_kinds: sent by the clients
@@ -214,6 +219,7 @@
                 writer=lambda store, _: SimulatedWriter(store, rng),
                 store=machine.disk,
                 monotonic=lambda: self.now,
+                run_blocking=_run_at_once,
             )
             await machine.control_node.start()
 
