Large bodies are held once, within a budget of each process, and go over links in parts on demand

Callers saw: a process over ramMb is killed, and all it carried is lost. Cause: a body was held by the parser, the joined message, the protobuf message and its copy in the frame, the encoded frame, the transport's buffer, and on the other side by the frame's buffer and its parts again; only the bodies of clients' requests were counted, once, and answers and what other nodes send not at all. Class: memory in proportion to what peers send, without a bound.

Now a body above 16 KiB is read into memory mapped for it alone (it goes back to the system when it is released), which is reserved before it is read: a request without room is refused with 503 before its body, an answer is read as fast as there is room. Over links it goes in parts of 64 KiB, 256 KiB ahead of what the receiver has confirmed; a request's body is asked for only once its call has a slot, and streams to the server. Unread answers and small bodies that are being read count, and a client that does not read its answers is not read either.

test_bodies_beyond_the_memory_limit_get_a_retry_after expects the refusal at the head of the request now, before it was only asked for once the body had come.

--- a/leadrudder/data_plane/inbound.py
+++ b/leadrudder/data_plane/inbound.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 from leadrudder.data_plane.admission_control import LASTING_ORIGIN, AdmissionController
 from leadrudder.data_plane.admission_queue import CallOrigin
@@ -17,7 +18,9 @@
 from leadrudder.node.servers import UpstreamCall
 from leadrudder.protocol.mesh_pb2 import ForwardRequest, ForwardResponse
 from leadrudder.protocol.outcome import Executed, RequestFailure
+from leadrudder.transport.body_stream import BodyReceiver
 from leadrudder.transport.http import BufferedHttpMessage
+from leadrudder.transport.large_body import LargeBody
 
 SERVER_TIMEOUT_GRACE_S = 0.1  # a server reports that its time is over; wait for that answer
 HOP_BY_HOP = frozenset(
@@ -35,7 +38,16 @@
     )
 )
 
-Deliver = Callable[[ForwardResponse], None]
+
+class Deliver(Protocol):
+    """Takes the response to a call, which comes once.
+
+    large_body: the response's body if it is too large to be copied; the taker releases it.
+    """
+
+    def __call__(self, response: ForwardResponse, large_body: LargeBody | None = None, /) -> None: ...
+
+
 # Gives up a call; the argument: whether the client has disconnected.  NEVER: it had not started.
 Withdraw = Callable[[bool], Executed]
 
@@ -78,12 +90,16 @@
         self._queue_timer: asyncio.TimerHandle | None = None
 
     def handle(
-        self, forward_request: ForwardRequest, deliver: Deliver, origin: CallOrigin = LASTING_ORIGIN
+        self,
+        forward_request: ForwardRequest,
+        deliver: Deliver,
+        origin: CallOrigin = LASTING_ORIGIN,
+        upload: BodyReceiver | None = None,
     ) -> Withdraw:
-        """Admit a call; returns a function that withdraws it.
+        """Admit a call; returns a function that withdraws it.  upload: its body if that is a large one.
 
-        A queued call is dropped. A running call is cancelled only if the client has disconnected and the
-        request is safe to repeat; an unsafe one runs to its end.
+        A queued call is dropped. A running call is cancelled only if its body has not arrived yet, or if the
+        client has disconnected and the request is safe to repeat; an unsafe one runs to its end.
         """
         call: UpstreamCall | None = None
 
@@ -99,14 +115,15 @@
 
         def start() -> None:
             nonlocal call
-            call = self._run(forward_request, deliver)
+            call = self._run(forward_request, deliver, upload)
 
         def withdraw(client_left: bool) -> Executed:
             if call is None:
                 if queued is not None:
                     self.admission.withdraw(queued)
                 return Executed.NEVER
-            if client_left and not forward_request.once:
+            is_incomplete = upload is not None and not upload.complete
+            if is_incomplete or (client_left and not forward_request.once):
                 call.cancel(Outcome.CANCELLED)
             return Executed.MAYBE
 
@@ -118,11 +135,14 @@
             self._process_queue()
         return withdraw
 
-    def _run(self, forward_request: ForwardRequest, deliver: Deliver) -> UpstreamCall:
+    def _run(
+        self, forward_request: ForwardRequest, deliver: Deliver, upload: BodyReceiver | None
+    ) -> UpstreamCall:
         started_at = self._loop.time()
         content_length = b""
-        if forward_request.body or forward_request.method not in (b"GET", b"HEAD", b"DELETE"):
-            content_length = b"Content-Length: %d\r\n" % len(forward_request.body)
+        body_bytes = len(forward_request.body) if upload is None else upload.size
+        if body_bytes or forward_request.method not in (b"GET", b"HEAD", b"DELETE"):
+            content_length = b"Content-Length: %d\r\n" % body_bytes
         head = b"%s %s HTTP/1.1\r\n%s%sTarget-Server: %s\r\n" % (
             forward_request.method,
             forward_request.target,
@@ -138,12 +158,19 @@
                 self.admission.on_connect_failure(forward_request.server, now)
             if response.ran == Executed.NEVER:
                 self.admission.on_call_not_run(forward_request)
-            deliver(response)
+            large_body = message.large_body if message is not None else None
+            if large_body is None:
+                deliver(response)
+            elif response.status:
+                deliver(response, large_body)
+            else:
+                large_body.release()
+                deliver(response)
             elapsed_ms = None if outcome is Outcome.CANCELLED else 1000.0 * (now - started_at)
             self.admission.on_call_ended(elapsed_ms, now, forward_request.target_ms)
             self._process_queue()
 
-        request = ServerRequest(forward_request.attempt_id, head, forward_request.body)
+        request = ServerRequest(forward_request.attempt_id, head, forward_request.body, upload)
         return self._local_server.run(
             forward_request.server, request, forward_request.left_ms / 1000.0 + SERVER_TIMEOUT_GRACE_S, ended
         )
--- a/leadrudder/data_plane/load_balancer.py
+++ b/leadrudder/data_plane/load_balancer.py
@@ -16,13 +16,14 @@
 from leadrudder import interface as api
 from leadrudder.configuration.items import Route
 from leadrudder.data_plane.candidates import Candidates, Distance
-from leadrudder.data_plane.inbound import Withdraw, no_withdrawal
+from leadrudder.data_plane.inbound import Deliver, Withdraw, no_withdrawal
 from leadrudder.data_plane.retry_budget import RetryBudget
 from leadrudder.interface import Effect, Outcome, ServerId
 from leadrudder.policy.decide import Balancer
 from leadrudder.protocol.mesh_pb2 import ForwardResponse
 from leadrudder.protocol.outcome import Executed, RequestFailure, ServerResponse, combined_failure
 from leadrudder.recovery.saturation import Saturation
+from leadrudder.transport.large_body import LargeBody
 
 MAX_ATTEMPTS = 3  # per request, including those refused by admission control
 ATTEMPTS_BEFORE_WAITING = 2  # later attempts may be queued even if the answer will miss its target
@@ -71,6 +72,7 @@
     verdicts: list[RequestFailure] = field(default_factory=list)
     error_reply: ServerResponse | None = None  # a server's answer other than a success
     refuse_if_waiting: Callable[[], None] = nothing_to_refuse  # ends it unless an attempt is in flight
+    large_body: LargeBody | None = None  # if it is too large to be copied; body is empty then
 
     def answer(self, result: ServerResponse | RequestFailure) -> None:
         if not self.done:
@@ -78,7 +80,7 @@
             self.on_answer(result)
 
 
-SendAttempt = Callable[[ProxiedRequest, Route, str, bool, bool, Callable[[ForwardResponse], None]], Withdraw]
+SendAttempt = Callable[[ProxiedRequest, Route, str, bool, bool, Deliver], Withdraw]
 
 
 @dataclass(frozen=True, slots=True)
@@ -270,10 +272,12 @@
         client_request.in_flight[attempt] = no_withdrawal
         ended_early = False
 
-        def delivered(response: ForwardResponse) -> None:
+        def delivered(response: ForwardResponse, large_body: LargeBody | None = None) -> None:
             nonlocal ended_early
             ended_early = True
-            self._on_response(number, attempt, action.server, started_at, client_request, response)
+            self._on_response(
+                number, attempt, action.server, started_at, client_request, response, large_body
+            )
 
         withdraw = self._send_attempt(
             client_request, self.route, server, attempt >= wait_from_attempt, is_repeat, delivered
@@ -341,13 +345,14 @@
         started_at: float,
         client_request: ProxiedRequest,
         response: ForwardResponse,
+        large_body: LargeBody | None,
     ) -> None:
         if attempt not in client_request.in_flight:
             return
         del client_request.in_flight[attempt]
         self._attempts_in_flight.pop((number, attempt), None)
         elapsed_ms = 1000.0 * (self._loop.time() - started_at)
-        outcome = self._classify(client_request, server, elapsed_ms, response)
+        outcome = self._classify(client_request, server, elapsed_ms, response, large_body)
         if outcome is Outcome.REJECTED and client_request.error_reply is not None:
             client_request.answer(client_request.error_reply)
         if outcome is Outcome.OK and self._current_servers.get(server.decode()) is Distance.OTHER_ZONE:
@@ -365,13 +370,18 @@
         self._remove_if_finished(number, client_request)
 
     def _classify(
-        self, client_request: ProxiedRequest, server: ServerId, elapsed_ms: float, response: ForwardResponse
+        self,
+        client_request: ProxiedRequest,
+        server: ServerId,
+        elapsed_ms: float,
+        response: ForwardResponse,
+        large_body: LargeBody | None,
     ) -> Outcome:
         """The outcome of an attempt in the policy's terms; a success is passed to the client at once."""
         ran = Executed(response.ran)
         if response.status:
             client_request.arrivals += 1
-            reply = ServerResponse(response.status, response.fields, response.body)
+            reply = ServerResponse(response.status, response.fields, response.body, large_body)
             if 200 <= response.status < 300:
                 client_request.answer(reply)
                 return Outcome.OK
--- a/leadrudder/data_plane/outbound.py
+++ b/leadrudder/data_plane/outbound.py
@@ -19,12 +19,19 @@
 from leadrudder.node.http import HttpMessage, HttpMessageError
 from leadrudder.observability.loop_lag import OVERLOAD_LAG_S
 from leadrudder.protocol.outcome import RequestFailure, ServerResponse
-from leadrudder.transport.http import BufferedHttpMessage, HttpReader, render_response
+from leadrudder.transport.body_stream import PART_BYTES
+from leadrudder.transport.http import (
+    BufferedHttpMessage,
+    HttpReader,
+    render_response,
+    render_response_head,
+)
+from leadrudder.transport.large_body import LargeBody
+from leadrudder.transport.memory_budget import MemoryBudget
 
 MAX_PIPELINED_REQUESTS = 64  # open on one connection; beyond that it is not read
 UNREAD_ANSWER_TIMEOUT_S = 10.0  # after which a client that does not read its answer is disconnected
 SWEEP_INTERVAL_S = 0.25
-SMALL_BODY_BYTES = 64 * 1024  # always accepted: the limit on open requests bounds their total
 CLOSE_LINGER_S = 0.5  # wait for the client to close after the last answer
 RETRY_AFTER_HEADER = b"Retry-After: 0.2\r\n"
 _ATTEMPT_ID = re.compile(rb"[!-~]{1,200}")
@@ -36,15 +43,37 @@
 SubmitRequest = Callable[[Route, ProxiedRequest], Callable[[], None]]
 
 
+@dataclass(frozen=True, slots=True)
+class RenderedAnswer:
+    """An answer as it is sent: its head, its body if that is small, and then its large body."""
+
+    data: bytes
+    large_body: LargeBody | None = None
+
+
+# Renders an answer; the argument: whether it closes its connection.
+RenderAnswer = Callable[[bool], RenderedAnswer]
+
+
 @dataclass(slots=True)
 class AnswerSlot:
     """One pending answer of a connection; answers are written in the order of their requests."""
 
-    rendered_answer: bytes | None = None
+    rendered_answer: RenderedAnswer | None = None
     close: bool = False
     on_client_left: Callable[[], None] | None = None  # called if the client disconnects before its answer
 
 
+@dataclass(slots=True)
+class LargeAnswer:
+    """The large body of an answer that is being written.  close: the answer closes its connection."""
+
+    body: LargeBody
+    close: bool
+    offset: int = 0
+    written_at: float = math.inf
+
+
 class ClientConnection(asyncio.Protocol):
     """One connection of a client."""
 
@@ -56,12 +85,15 @@
             requests=True,
             max_head_bytes=limits.max_header_bytes,
             max_body_bytes=limits.max_body_bytes,
+            budget=outbound.request_memory,
         )
         self._transport: asyncio.Transport | None = None
         self._slots: deque[AnswerSlot] = deque()
         self._last_activity_at = 0.0  # connection opened, request started or answer written
         self._input_ended = False  # no further input is read
         self._reading_paused = False
+        self._writing_paused = False
+        self._large_answer: LargeAnswer | None = None  # being written
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -79,21 +111,24 @@
         try:
             self._reader.feed(data)
         except HttpMessageError as error:
-            self._reject(error.status, str(error))
-        if not self._outbound.hold_body(self, self._reader.body_size) and not self._input_ended:
+            self._reject(error.status, str(error), RETRY_AFTER_HEADER if error.status == 503 else b"")
+        inline_bytes = 0 if self._input_ended else self._reader.inline_bytes
+        if not self._outbound.hold_input(self, inline_bytes):
             self._reject(503, "no memory for the body now", RETRY_AFTER_HEADER)
 
     def _reject(self, status: int, text: str, fields: bytes = b"") -> None:
         """Answer invalid or excess input once and read nothing more."""
-        self._outbound.hold_body(self, 0)
-        slot = AnswerSlot(render_response(status, fields, text.encode() + b"\n", close=True), close=True)
+        self._outbound.hold_input(self, 0)
+        self._reader.abandon()
+        data = render_response(status, fields, text.encode() + b"\n", close=True)
+        slot = AnswerSlot(RenderedAnswer(data), close=True)
         self._input_ended = True
         self._slots.append(slot)
         self._write_ready_answers()
 
     def eof_received(self) -> bool:
         """The client has closed its connection: its open requests are abandoned."""
-        is_waiting = bool(self._slots)
+        is_waiting = bool(self._slots) or self._large_answer is not None
         self._input_ended = True
         self._notify_client_left()
         return is_waiting  # keep the transport open for the answers that are still due
@@ -105,9 +140,17 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
-        self._outbound.hold_body(self, 0)
+        self._outbound.hold_input(self, 0)
+        self._outbound.hold_unsent(self, 0)
+        self._reader.abandon()
         self._outbound.clients.pop(self, None)
         self._notify_client_left()
+        if self._large_answer is not None:
+            self._large_answer.body.release()
+            self._large_answer = None
+        for slot in self._slots:
+            if slot.rendered_answer is not None and slot.rendered_answer.large_body is not None:
+                slot.rendered_answer.large_body.release()
 
     def _on_request(self, message: HttpMessage) -> None:
         if self._input_ended:
@@ -117,19 +160,19 @@
             self._input_ended = True
             self._reader.stop()
         self._slots.append(slot)
-        if (
-            len(self._slots) >= MAX_PIPELINED_REQUESTS
-            and self._transport is not None
-            and not self._reading_paused
-        ):
-            self._transport.pause_reading()
-            self._reading_paused = True
-        self._outbound.hold_body(self, 0)  # from here on its body is counted by handle_request
+        if len(self._slots) >= MAX_PIPELINED_REQUESTS:
+            self._pause_reading()
+        self._outbound.hold_input(self, 0)  # from here on its body is counted by handle_request
         slot.on_client_left = self._outbound.handle_request(
             cast(BufferedHttpMessage, message), lambda render_answer: self._set_answer(slot, render_answer)
         )
 
-    def _set_answer(self, slot: AnswerSlot, render_answer: Callable[[bool], bytes]) -> None:
+    def _pause_reading(self) -> None:
+        if self._transport is not None and not self._reading_paused:
+            self._transport.pause_reading()
+            self._reading_paused = True
+
+    def _set_answer(self, slot: AnswerSlot, render_answer: RenderAnswer) -> None:
         if self._outbound.closing and self._slots and self._slots[-1] is slot:
             slot.close = True
         if slot.close:
@@ -141,33 +184,75 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        while self._slots and self._slots[0].rendered_answer is not None:
+        while self._large_answer is None and self._slots and self._slots[0].rendered_answer is not None:
             slot = self._slots.popleft()
             assert slot.rendered_answer is not None
-            transport.write(slot.rendered_answer)
+            transport.write(slot.rendered_answer.data)
             self._last_activity_at = self._outbound.now()
+            if slot.rendered_answer.large_body is not None:
+                self._large_answer = LargeAnswer(slot.rendered_answer.large_body, slot.close)
+                self._write_large_answer(self._large_answer, transport)
+            elif slot.close:
+                self._end_output(transport)
             if slot.close:
-                # Closing with unread input would reset the connection and could lose this answer.
-                self._input_ended = True
-                if transport.can_write_eof():
-                    transport.write_eof()
                 return
-        if self._reading_paused and len(self._slots) < MAX_PIPELINED_REQUESTS // 2:
+        self._outbound.hold_unsent(self, transport.get_write_buffer_size())
+        may_read = not self._writing_paused and len(self._slots) < MAX_PIPELINED_REQUESTS // 2
+        if self._reading_paused and may_read:
             transport.resume_reading()
             self._reading_paused = False
 
+    def _write_large_answer(self, answer: LargeAnswer, transport: asyncio.Transport) -> None:
+        """Write as much of a large body as the client reads now."""
+        while answer.offset < answer.body.size and not self._writing_paused:
+            part = answer.body.read(answer.offset, PART_BYTES)
+            answer.offset += len(part)
+            transport.write(part)
+            answer.written_at = self._last_activity_at = self._outbound.now()
+        if answer.offset < answer.body.size:
+            return
+        self._large_answer = None
+        answer.body.release()
+        if answer.close:
+            self._end_output(transport)
+
+    def _end_output(self, transport: asyncio.Transport) -> None:
+        # Closing with unread input would reset the connection and could lose this answer.
+        self._input_ended = True
+        if transport.can_write_eof():
+            transport.write_eof()
+
+    def pause_writing(self) -> None:
+        """The client does not read its answers: no further requests are read."""
+        self._writing_paused = True
+        self._pause_reading()
+
+    def resume_writing(self) -> None:
+        self._writing_paused = False
+        if self._large_answer is not None and self._transport is not None:
+            self._write_large_answer(self._large_answer, self._transport)
+        self._write_ready_answers()
+
     def busy(self) -> bool:
         return (
             bool(self._slots) or (self._reader.partial and not self._input_ended) or self._has_unsent_bytes()
         )
 
     def _has_unsent_bytes(self) -> bool:
-        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+        return self._large_answer is not None or (
+            self._transport is not None and self._transport.get_write_buffer_size() > 0
+        )
 
     def check_timeouts(self, now: float, limits: Limits) -> None:
         """Enforce the time limits of this connection."""
         elapsed_ms = 1000.0 * (now - self._last_activity_at)
-        if self._transport is None or self._slots:
+        if self._transport is None:
+            return
+        self._outbound.hold_unsent(self, self._transport.get_write_buffer_size())
+        if self._large_answer is not None and now - self._large_answer.written_at > UNREAD_ANSWER_TIMEOUT_S:
+            self.force_close()
+            return
+        if self._slots:
             return
         if self._input_ended:
             if elapsed_ms > 1000.0 * (
@@ -195,8 +280,9 @@
     """Accepts client connections and forwards their requests.
 
     find_route: the route of a host and path; submit: starts a request; has_room: whether another request may
-    be open; max_held_bytes: limit on request bodies in memory, above which larger bodies are refused with
-    Retry-After; lag_s: delay of the event loop, above BEHIND_S of which requests are refused likewise.
+    be open; request_memory: for the bodies of requests, which are refused with Retry-After if there is no
+    room; answer_memory: for answers that clients have not read; lag_s: delay of the event loop, above
+    OVERLOAD_LAG_S of which requests are refused likewise.
     """
 
     def __init__(
@@ -206,15 +292,17 @@
         submit: SubmitRequest,
         limits: Callable[[], Limits],
         has_room: Callable[[], bool],
-        max_held_bytes: float = math.inf,
+        request_memory: MemoryBudget | None = None,
         lag_s: Callable[[], float] = lambda: 0.0,
+        answer_memory: MemoryBudget | None = None,
     ) -> None:
         self._lag_s = lag_s
+        self.request_memory = request_memory or MemoryBudget()
+        self._answer_memory = answer_memory or MemoryBudget()
         self._patience = ClientPatience()
         self.requests_shed = 0  # refused because of event loop lag, since process start
-        self._max_held_bytes = max_held_bytes
-        self._held_bytes: dict[ClientConnection, int] = {}  # of bodies that are being read
-        self._held_bytes_total = 0  # including the bodies of open requests
+        self._input_bytes: dict[ClientConnection, int] = {}  # of small bodies that are being read
+        self._unsent_bytes: dict[ClientConnection, int] = {}  # of answers
         self.limits = limits
         self.clients: dict[ClientConnection, None] = {}
         self.closing = False  # the last answer of each connection closes it
@@ -248,13 +336,24 @@
         for client in list(self.clients):
             client.check_timeouts(now, limits)
 
-    def hold_body(self, client: ClientConnection, body_bytes: int) -> bool:
-        """Set the size of the body that a client is sending; False if it exceeds the memory for bodies."""
-        before = self._held_bytes.pop(client, 0)
-        if body_bytes:
-            self._held_bytes[client] = body_bytes
-        self._held_bytes_total += body_bytes - before
-        return body_bytes <= SMALL_BODY_BYTES or self._held_bytes_total <= self._max_held_bytes
+    def hold_input(self, client: ClientConnection, size: int) -> bool:
+        """Set the size of the small body that a client is sending; False if there is no memory for it."""
+        before = self._input_bytes.pop(client, 0)
+        if size:
+            self._input_bytes[client] = size
+            self.request_memory.take(size)
+        self.request_memory.give_back(before)
+        return not size or not self.request_memory.is_full()
+
+    def hold_unsent(self, client: ClientConnection, size: int) -> None:
+        """Set the bytes of answers that wait for a client to read them."""
+        before = self._unsent_bytes.pop(client, 0)
+        if size:
+            self._unsent_bytes[client] = size
+        if size > before:
+            self._answer_memory.take(size - before)
+        elif size < before:
+            self._answer_memory.give_back(before - size)
 
     def busy(self) -> bool:
         return self.open_requests > 0 or any(client.busy() for client in self.clients)
@@ -287,7 +386,7 @@
     # ------------------------------------------------------------ requests
 
     def handle_request(
-        self, message: BufferedHttpMessage, write: Callable[[Callable[[bool], bytes]], None]
+        self, message: BufferedHttpMessage, write: Callable[[RenderAnswer], None]
     ) -> Callable[[], None] | None:
         """Handle a complete request; write is called once, with a function that renders the answer.
 
@@ -323,16 +422,16 @@
             return self._answer_status(write, 503, RETRY_AFTER_HEADER)
         if self.now() > self.unrestricted_until and self.now() + left_ms / 1000.0 > self.answers_due_by:
             return self._answer_status(write, 503, RETRY_AFTER_HEADER)
-        body_bytes = len(message.body)
-        if not self._has_room() or (
-            body_bytes > SMALL_BODY_BYTES and self._held_bytes_total + body_bytes > self._max_held_bytes
-        ):
+        inline_bytes, large_body = len(message.body), message.large_body
+        if not self._has_room() or (large_body is None and self.request_memory.is_full()):
             return self._answer_status(write, 503, RETRY_AFTER_HEADER)
-        self._held_bytes_total += body_bytes
+        self.request_memory.take(inline_bytes)
 
         def answered(result: ServerResponse | RequestFailure) -> None:
             self._open_requests.pop(client_request, None)
-            self._held_bytes_total -= body_bytes
+            self.request_memory.give_back(inline_bytes)
+            if large_body is not None:
+                large_body.release()
             write(lambda close: _render_result(result, attempt_id, close))
 
         client_request = ProxiedRequest(
@@ -340,6 +439,7 @@
             target=message.target,
             fields=forwarded_headers(message, _REPLACED_HEADERS) + self._calling_service_header,
             body=message.body,
+            large_body=large_body,
             attempt_id=attempt_id,
             deadline=self.now() + left_ms / 1000.0,
             on_answer=answered,
@@ -349,16 +449,15 @@
         return self._submit(route, client_request)
 
     @staticmethod
-    def _answer_status(
-        write: Callable[[Callable[[bool], bytes]], None], status: int, fields: bytes = b""
-    ) -> None:
-        write(lambda close: render_response(status, fields, b"", close=close))
+    def _answer_status(write: Callable[[RenderAnswer], None], status: int, fields: bytes = b"") -> None:
+        write(lambda close: RenderedAnswer(render_response(status, fields, b"", close=close)))
 
 
-def _render_result(result: ServerResponse | RequestFailure, attempt_id: bytes, close: bool) -> bytes:
+def _render_result(result: ServerResponse | RequestFailure, attempt_id: bytes, close: bool) -> RenderedAnswer:
     if isinstance(result, ServerResponse):
-        return render_response(result.status, result.fields, result.body, close=close)
+        head = render_response_head(result.status, result.fields, result.body_bytes, close=close)
+        return RenderedAnswer(head + result.body, result.large_body)
     status, fields = result.status(), b"Attempt-Id: %s\r\n" % attempt_id
     if status == 503:
         fields += b"Retry-After: %.3f\r\n" % (max(MIN_RETRY_AFTER_MS, result.retry_ms) / 1000.0)
-    return render_response(status, fields, b"", close=close)
+    return RenderedAnswer(render_response(status, fields, b"", close=close))
--- a/leadrudder/data_plane/program.py
+++ b/leadrudder/data_plane/program.py
@@ -20,7 +20,7 @@
 from leadrudder.bootstrap.takeover import Startup
 from leadrudder.configuration.items import Route
 from leadrudder.data_plane.admission_control import AdmissionController, ServerInstance
-from leadrudder.data_plane.inbound import InboundProxy, Withdraw, no_withdrawal
+from leadrudder.data_plane.inbound import Deliver, InboundProxy, Withdraw, no_withdrawal
 from leadrudder.data_plane.incoming_calls import IncomingCalls
 from leadrudder.data_plane.load_balancer import ProxiedRequest
 from leadrudder.data_plane.mesh_state import MeshState
@@ -36,18 +36,22 @@
 from leadrudder.node.platform import SYSTEM, Platform
 from leadrudder.observability.invariants import Invariants
 from leadrudder.observability.loop_lag import LoopLag
-from leadrudder.observability.metrics import Metrics
+from leadrudder.observability.metrics import Metrics, peak_memory_bytes
 from leadrudder.observability.traffic import TrafficCounters
 from leadrudder.protocol import mesh_pb2 as wire
 from leadrudder.protocol.mesh_pb2 import ForwardRequest, ForwardResponse
 from leadrudder.protocol.outcome import Executed
+from leadrudder.transport.body_stream import BodyReceiver, BodySender
 from leadrudder.transport.http import ApiRequest, ApiResponse, ApiServer
+from leadrudder.transport.large_body import LargeBody
 from leadrudder.transport.link import Link
+from leadrudder.transport.memory_budget import MemoryBudget
 
 TICK_INTERVAL_S = 0.25
 MAX_MISSED_HEARTBEATS = 3.5  # heartbeats that a server may miss before it counts as crashed
 REFUSAL_LOG_INTERVAL_S = 1.0
-BODY_MEMORY_FRACTION = 0.2  # of the memory: each body is copied about twice more while it is forwarded
+# Parts of the memory: for all bodies that are held, and for those of requests among them.
+HELD_MEMORY_FRACTION, REQUEST_MEMORY_FRACTION = 0.55, 0.4
 MAX_OPEN_REQUESTS = 2000
 FINAL_SWEEP_INTERVAL_S = 0.05  # while the last requests are refused during a shutdown
 
@@ -95,8 +99,15 @@
         self.traffic = TrafficCounters()
         self._refusals: Counter[str] = Counter()  # calls without a response since the last log line
         self._refusals_logged_at = 0.0
+        self._logged_body_refusals = 0
+        memory_bytes = settings.memory_limit_mb * 1e6
+        self._memory = MemoryBudget(HELD_MEMORY_FRACTION * memory_bytes)
+        self._request_memory = MemoryBudget(REQUEST_MEMORY_FRACTION * memory_bytes, self._memory)
         self._local_server = LocalServer(
-            settings.application_address or (settings.ip, 0), max_connections=100, platform=platform
+            settings.application_address or (settings.ip, 0),
+            max_connections=100,
+            platform=platform,
+            answer_memory=self._memory,
         )
         self._ledger = Ledger()
         self._accounting = RequestAccounting(
@@ -119,15 +130,16 @@
         )
         self._incoming_calls = IncomingCalls(self._inbound, self.state.discovery, self._lag)
         self._peak_slots_used = 0  # highest number of slots of the local server in use since the last report
-        self._peer_links = PeerLinks()
+        self._peer_links = PeerLinks(self._memory)
         self._outbound = OutboundProxy(
             settings.service,
             self.state.routing.find,
             self._begin_request,
             lambda: self.state.routing.limits,
             lambda: self._outbound.open_requests < MAX_OPEN_REQUESTS,
-            BODY_MEMORY_FRACTION * settings.memory_limit_mb * 1e6,
+            self._request_memory,
             self._lag.seconds,
+            self._memory,
         )
         self._startup = Startup(self.log_buffer.log_info)
         self._server_api = ServerApi(
@@ -191,6 +203,10 @@
         metrics.add("slot_seconds_total", lambda: self.admission.slot_seconds(self._loop.time()))
         metrics.add("requests_shed_total", lambda: self._outbound.requests_shed)
         metrics.add("calls_shed_total", lambda: self._incoming_calls.calls_shed)
+        metrics.add("held_body_bytes", lambda: self._memory.used_bytes)
+        metrics.add("held_body_bytes_limit", lambda: self._memory.limit_bytes)
+        metrics.add("body_refusals_total", lambda: self._request_memory.refusals)
+        metrics.add("process_peak_memory_bytes", peak_memory_bytes)
         metrics.add("loop_lag_seconds", self._lag.seconds)
         metrics.add("loop_lag_highest_seconds", lambda: self._lag.highest_s)
         metrics.add("process_cpu_seconds_total", time.process_time)
@@ -218,7 +234,7 @@
         server: str,
         may_wait: bool,
         is_retry: bool,
-        deliver: Callable[[ForwardResponse], None],
+        deliver: Deliver,
     ) -> Withdraw:
         """Send one attempt to the data-plane node of its server."""
         now = self._loop.time()
@@ -244,11 +260,11 @@
 
         self.traffic.calls += 1
 
-        def count_and_deliver(response: ForwardResponse) -> None:
+        def count_and_deliver(response: ForwardResponse, large_body: LargeBody | None = None) -> None:
             if response.why:
                 self._refusals[response.why] += 1
                 self.traffic.refused[response.why] += 1
-            deliver(response)
+            deliver(response, large_body)
 
         if ends_by <= now:
             count_and_deliver(ForwardResponse(ran=Executed.NEVER, why="time"))
@@ -258,8 +274,19 @@
             count_and_deliver(ForwardResponse(ran=Executed.NEVER, why="gone"))
             return no_withdrawal
         if endpoint.address == self._address:
-            return self._inbound.handle(forward_request, count_and_deliver)
-        return self._peer_links.send(endpoint.address, forward_request, count_and_deliver)
+            upload = self._local_upload(request.large_body) if request.large_body is not None else None
+            return self._inbound.handle(forward_request, count_and_deliver, upload=upload)
+        return self._peer_links.send(endpoint.address, forward_request, count_and_deliver, request.large_body)
+
+    def _local_upload(self, body: LargeBody) -> BodyReceiver:
+        """A stream of a body to the server of this machine."""
+
+        def emit(data: bytes) -> None:
+            self._loop.call_soon(receiver.on_part, data)
+
+        sender = BodySender(body, emit)
+        receiver = BodyReceiver(body.size, sender.on_credit)
+        return receiver  # noqa: RET504 - emit refers to it
 
     # ------------------------------------------------------------ updates from the control plane
 
@@ -351,6 +378,12 @@
         self.state.update_subscriptions()
         if self._maintenance_windows:
             self._report_usage()
+        if self._request_memory.refusals > self._logged_body_refusals:
+            self._logged_body_refusals = self._request_memory.refusals
+            self.log_buffer.log_warning(
+                f"bodies refused for lack of memory: {self._logged_body_refusals} so far, "
+                f"{self._memory.used_bytes} of {self._memory.limit_bytes:.0f} bytes held"
+            )
         if self._refusals and now - self._refusals_logged_at >= REFUSAL_LOG_INTERVAL_S:
             self._refusals_logged_at = now
             self.log_buffer.record(
--- a/leadrudder/data_plane/server_connections.py
+++ b/leadrudder/data_plane/server_connections.py
@@ -27,7 +27,9 @@
     UpstreamConnection,
 )
 from leadrudder.observability.metrics import Metrics
+from leadrudder.transport.body_stream import BodyReceiver
 from leadrudder.transport.http import BufferedHttpMessage, HttpReader
+from leadrudder.transport.memory_budget import MemoryBudget
 
 ATTEMPT_ID_HEADER = b"attempt-id"
 SERVER_SEAL_HEADER = b"server-seal"
@@ -42,11 +44,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerRequest:
-    """A request as it is sent to the server; called with the remaining time, it renders the message."""
+    """A request as it is sent to the server; called with the remaining time, it renders the message.
+
+    upload: the source of a large body, which follows the rendered message; body is empty then.
+    """
 
     attempt_id: bytes  # empty for a health check, whose answer has no id
     head: bytes  # without the Time-Left header
     body: bytes
+    upload: BodyReceiver | None = None
 
     def __call__(self, left_s: float) -> bytes:
         left_ms = max(1, math.floor(1000.0 * left_s))
@@ -74,10 +80,21 @@
         self._expected_id = b""
         self._sent_ids: set[bytes] = set()
         self._is_repeated = False  # the current id had been sent on this connection before
+        self._upload: BodyReceiver | None = None  # the large body of the current request
+        self._writing_paused = False
+        self._unconfirmed_bytes = 0  # of the upload, written while the server did not read
+        self._answer_memory = cast(LocalServer, upstream).answer_memory
         super().__init__(endpoint, upstream)
 
     def create_parser(self) -> HttpParser:
-        return HttpReader(self._on_response, requests=False, max_body_bytes=MAX_ANSWER_BYTES)
+        self._reader = HttpReader(
+            self._on_response,
+            requests=False,
+            max_body_bytes=int(min(MAX_ANSWER_BYTES, self._answer_memory.limit_bytes)),
+            budget=self._answer_memory,
+            refuses_without_memory=False,
+        )
+        return self._reader
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -94,6 +111,47 @@
         self._is_repeated = self._expected_id in self._sent_ids
         self._sent_ids.add(self._expected_id)
         super().send(call)
+        if call.render.upload is not None:
+            self._upload = call.render.upload
+            self._upload.start(self._write_body, self._fail)
+
+    def _write_body(self, data: bytes) -> None:
+        if self._upload is None or self._transport is None or not self.is_open():
+            return
+        self._transport.write(data)
+        if self._writing_paused:
+            self._unconfirmed_bytes += len(data)
+        else:
+            self._upload.consumed(len(data))
+
+    def pause_writing(self) -> None:
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        self._writing_paused = False
+        confirmed, self._unconfirmed_bytes = self._unconfirmed_bytes, 0
+        if confirmed and self._upload is not None:
+            self._upload.consumed(confirmed)
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        if self._reader.missing_memory and self._call is not None and self._transport is not None:
+            self._transport.pause_reading()
+            self._reader.reserve_missing_memory(self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and self.is_open():
+            self._transport.resume_reading()
+
+    def drop(self) -> None:
+        self._end_upload()
+        self._reader.abandon()
+        super().drop()
+
+    def _end_upload(self) -> None:
+        if self._upload is not None:
+            self._upload.stop()
+            self._upload = None
 
     def _on_response(self, message: HttpMessage) -> None:
         answer_id = message.headers.get(ATTEMPT_ID_HEADER)
@@ -102,11 +160,17 @@
                 raise HttpMessageError(400, "answer without an Attempt-Id header")
             self._counts.foreign += 1
             self._had_foreign_answer = True  # answers an earlier request; ours may follow
+            large_body = cast(BufferedHttpMessage, message).large_body
+            if large_body is not None:
+                large_body.release()
             return
         if self._is_repeated:
             self._counts.ambiguous += 1
         if self._had_foreign_answer or len(self._sent_ids) >= MAX_REQUESTS_PER_CONNECTION:
             message.keep_alive = False
+        if self._upload is not None and not self._upload.complete:
+            message.keep_alive = False  # the rest of the body will not come
+        self._end_upload()
         super()._on_response(message)
 
 
@@ -115,7 +179,15 @@
 
     connection = LocalServerConnection
 
-    def __init__(self, address: Address, max_connections: int, platform: Platform = SYSTEM) -> None:
+    def __init__(
+        self,
+        address: Address,
+        max_connections: int,
+        platform: Platform = SYSTEM,
+        answer_memory: MemoryBudget | None = None,
+    ) -> None:
+        """answer_memory: for large answers, which are read as fast as there is room."""
+        self.answer_memory = answer_memory or MemoryBudget()
         super().__init__(
             connect_timeout_s=CONNECT_TIMEOUT_S,
             idle_timeout_s=SERVER_IDLE_TIMEOUT_S,
--- a/leadrudder/observability/metrics.py
+++ b/leadrudder/observability/metrics.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import resource
 from collections.abc import Callable, Iterable, Mapping
 
 ReadValue = Callable[[], float]
 ReadLabelledValues = Callable[[], Mapping[str, float]]
 
 
+def peak_memory_bytes() -> float:
+    """The most memory that this process has had resident at once."""
+    return 1024.0 * resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+
+
 class Metrics:
     """Metrics by name.  Values are not stored here but read from where they are counted."""
 
--- a/leadrudder/protocol/outcome.py
+++ b/leadrudder/protocol/outcome.py
@@ -10,6 +10,8 @@
 
 from returns.result import Result
 
+from leadrudder.transport.large_body import LargeBody
+
 
 class Executed(IntEnum):
     """Whether a server has run a request, as far as is certain."""
@@ -36,11 +38,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerResponse:
-    """A server's complete response; fields are header lines as sent to the client."""
+    """A server's complete response; fields are header lines as sent to the client.
+
+    large_body: the body if it is too large to be copied; body is empty then.
+    """
 
     status: int
     fields: bytes
     body: bytes
+    large_body: LargeBody | None = None
+
+    @property
+    def body_bytes(self) -> int:
+        return len(self.body) if self.large_body is None else self.large_body.size
 
 
 Outcome = Result[ServerResponse, RequestFailure]
--- a/leadrudder/transport/http.py
+++ b/leadrudder/transport/http.py
@@ -15,6 +15,8 @@
 
 from leadrudder.node.http import HttpMessage, HttpMessageError, HttpParser
 from leadrudder.transport.caller import Caller
+from leadrudder.transport.large_body import INLINE_BODY_BYTES, SEGMENT_BYTES, LargeBody
+from leadrudder.transport.memory_budget import MemoryBudget
 
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -39,15 +41,37 @@
 
 @dataclass(slots=True)
 class BufferedHttpMessage(HttpMessage):
-    """A message with all its header fields, in their original order and spelling."""
+    """A message with all its header fields, in their original order and spelling.
+
+    large_body: the body if it is larger than INLINE_BODY_BYTES and has been read within a budget.
+    """
 
     fields: list[tuple[bytes, bytes]] = field(default_factory=list)
+    large_body: LargeBody | None = None
+
+    @property
+    def body_bytes(self) -> int:
+        return len(self.body) if self.large_body is None else self.large_body.size
 
 
 class HttpReader(HttpParser):
-    """Reads messages with all their header fields."""
+    """Reads messages with all their header fields.
 
-    __slots__ = ("_max_body_bytes", "_max_head_bytes", "_heads", "partial")
+    budget: for large bodies; without one every body is read into its message.  refuses_without_memory:
+    whether a body for which there is no room is an error with status 503.  If not, it is read on, and
+    missing_memory tells so, until reserve_missing_memory succeeds.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_heads",
+        "_large_body",
+        "_max_body_bytes",
+        "_max_head_bytes",
+        "_refuses_without_memory",
+        "missing_memory",
+        "partial",
+    )
 
     def __init__(
         self,
@@ -56,8 +80,13 @@
         requests: bool,
         max_head_bytes: int = MAX_HEAD_BYTES,
         max_body_bytes: int = MAX_BODY_BYTES,
+        budget: MemoryBudget | None = None,
+        refuses_without_memory: bool = True,
     ) -> None:
         super().__init__(on_message, requests=requests)
+        self._budget, self._refuses_without_memory = budget, refuses_without_memory
+        self._large_body: LargeBody | None = None
+        self.missing_memory = 0  # bytes to reserve for the body that is being read, before more is read
         self._max_head_bytes, self._max_body_bytes = max_head_bytes, max_body_bytes
         self._head_left = max_head_bytes
         self.partial = False  # some bytes of an incomplete message have arrived
@@ -69,12 +98,26 @@
             self.partial = False
 
     @property
-    def body_size(self) -> int:
-        """Bytes received so far of the current body; 0 between messages."""
-        return self._size if self._message is not None else 0
+    def inline_bytes(self) -> int:
+        """Bytes received so far of the current body, if that is no large one; 0 between messages."""
+        return self._size if self._message is not None and self._large_body is None else 0
+
+    def abandon(self) -> None:
+        """The message that is being read is not wanted any more."""
+        if self._large_body is not None:
+            self._large_body.release()
+            self._large_body = None
+        self.missing_memory = 0
+
+    def reserve_missing_memory(self, on_reserved: Callable[[], None]) -> None:
+        """Wait for the memory that the current body needs."""
+        if self._large_body is not None:
+            self._large_body.reserve_later(self.missing_memory, on_reserved)
+        self.missing_memory = 0
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
+        self.abandon()
         self._message = BufferedHttpMessage()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -84,6 +127,9 @@
         super().on_header(name, value)
 
     def on_message_complete(self) -> None:
+        if self._message is not None and self._failure is None:
+            cast(BufferedHttpMessage, self._message).large_body, self._large_body = self._large_body, None
+            self.missing_memory = 0
         super().on_message_complete()
         if self._message is None:
             self._head_left = self._max_head_bytes
@@ -97,6 +143,9 @@
         elif length is not None:
             if int(length) > self._max_body_bytes:
                 self._fail(413, "the body is too large")
+            if self._budget is not None and int(length) > INLINE_BODY_BYTES:
+                self._large_body = LargeBody(self._budget, int(length))
+                self._reserve(int(length))
         elif isinstance(self._parser, httptools.HttpResponseParser) and self._has_body():
             self._fail(400, "the length is not told")
 
@@ -110,7 +159,27 @@
         self._size += len(part)
         if self._size > self._max_body_bytes:
             self._fail(413, "the body is too large")
-        self._body.append(part)
+        if self._budget is not None and self._large_body is None and self._size > INLINE_BODY_BYTES:
+            self._large_body = LargeBody(self._budget)
+            for earlier in self._body:
+                self._large_body.append(earlier)
+            self._body.clear()
+        if self._large_body is None:
+            self._body.append(part)
+            return
+        # Of a body without a told length a whole segment at a time is reserved.
+        if self._size > self._large_body.reserved_bytes and not self.missing_memory:
+            self._reserve(-(-self._size // SEGMENT_BYTES) * SEGMENT_BYTES)
+        self._large_body.append(part)
+
+    def _reserve(self, size: int) -> None:
+        assert self._large_body is not None
+        if self._large_body.reserve(size):
+            return
+        if self._refuses_without_memory:
+            self.abandon()
+            self._fail(503, "no memory for the body now")
+        self.missing_memory = size
 
     def _measure(self, size: int) -> None:
         self._head_size += size
@@ -118,18 +187,22 @@
             self._fail(431, "the head is too large")
 
 
-def render_response(status: int, fields: bytes, body: bytes, *, close: bool = False) -> bytes:
-    """Render a response; fields are complete header lines without Content-Length."""
-    return b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n%s\r\n%s" % (
+def render_response_head(status: int, fields: bytes, body_bytes: int, *, close: bool = False) -> bytes:
+    """Render the head of a response; fields are complete header lines without Content-Length."""
+    return b"HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n%s\r\n" % (
         status,
         REASON_PHRASES.get(status, b"Status"),
         fields,
-        len(body),
+        body_bytes,
         b"Connection: close\r\n" if close else b"",
-        body,
     )
 
 
+def render_response(status: int, fields: bytes, body: bytes, *, close: bool = False) -> bytes:
+    """Render a response; fields are complete header lines without Content-Length."""
+    return render_response_head(status, fields, len(body), close=close) + body
+
+
 @dataclass(frozen=True, slots=True)
 class ApiRequest:
     """An API request of an operator, a server or the platform."""
