--- a/bench/peak_memory.py
+++ b/bench/peak_memory.py
@@ -208,7 +208,7 @@
     ),
     Case("upload-3-thirty-at-once", uploads(3, *[0] * 30)),
     Case("upload-0.06-two-hundred", uploads(0.06, *[0] * 200)),
-    Case("upload-59.9-then-3-thirty", uploads(59.9, 2, rounds=3)),
+    Case("upload-59.9-own-machine-three-rounds", uploads(59.9, 2, rounds=3)),
     Case("answer-5-three", answers(5, 0, 0, 0)),
     Case("answer-59.9-one", answers(59.9, 0)),
     Case("answer-59.9-three-machines", answers(59.9, 0, 1, 2)),
--- a/leadrudder/bootstrap/takeover.py
+++ b/leadrudder/bootstrap/takeover.py
@@ -14,7 +14,7 @@
 from typing import TypeVar
 
 from leadrudder.storage.store import DiskError, DiskInUseError
-from leadrudder.transport.http import ApiRequest, ApiResponse
+from leadrudder.transport.http import RETRY_AFTER_HEADER, ApiRequest, ApiResponse
 
 TAKEOVER_TIMEOUT_S = (
     75.0  # longer than a grace period, and than the 60 s for which a closed connection's port is kept
@@ -22,7 +22,6 @@
 RETRY_INTERVAL_S = 0.1
 LOG_INTERVAL_S = 5.0
 _ABSENT_ADDRESS_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
-_RETRY_AFTER = b"Retry-After: 0.2\r\n"
 
 ResultT = TypeVar("ResultT")
 
@@ -64,7 +63,7 @@
     def respond(self, request: ApiRequest) -> ApiResponse:
         """The response to any API request during the start."""
         text = f"starting{', ' if self._waiting_for else ''}{self._waiting_for}\n"
-        return ApiResponse(503, text.encode(), _RETRY_AFTER)
+        return ApiResponse(503, text.encode(), RETRY_AFTER_HEADER)
 
     async def listen(self, listen: Callable[[], Awaitable[ResultT]]) -> ResultT:
         """Listen at an address as soon as it can be had; raises OSError after TAKEOVER_TIMEOUT_S."""
--- a/leadrudder/control_plane/feeds.py
+++ b/leadrudder/control_plane/feeds.py
@@ -74,6 +74,10 @@
         """Unsent bytes of the session that is furthest behind."""
         return max((link.unsent_bytes() for link in self._feeds), default=0)
 
+    def total_unsent_bytes(self) -> int:
+        """Unsent bytes of all sessions."""
+        return sum(link.unsent_bytes() for link in self._feeds)
+
     def send_initial_state(self, link: Link, news: wire.StateUpdate) -> None:
         """Sends the whole state, as the first update of a new session."""
         self._send(link, encode_frame(Frame(news=news)))
--- a/leadrudder/control_plane/maintenance.py
+++ b/leadrudder/control_plane/maintenance.py
@@ -28,13 +28,12 @@
 from leadrudder.maintenance.planner import FleetState, Machine, WindowRequest, hour_of_week
 from leadrudder.maintenance.window import AWAY_STAGES, WINDOW_PREFIX, Window
 from leadrudder.protocol.mesh_pb2 import Item, Node
-from leadrudder.transport.http import ApiRequest, ApiResponse
+from leadrudder.transport.http import RETRY_AFTER_HEADER, ApiRequest, ApiResponse
 
 MAX_FINISHED_WINDOWS = 50  # kept after their end
 MAX_PENDING_STEPS = 64  # commits in progress
 MAX_ALTER_ATTEMPTS = 5  # of a request whose window was changed concurrently
 _JSON_FIELDS = b"Content-Type: application/json\r\n"
-_RETRY_AFTER = b"Retry-After: 0.2\r\n"
 
 Commit = Callable[[list[Item]], Awaitable[Answer]]
 
@@ -353,4 +352,4 @@
 def _commit_failed(code: ResultCode) -> ApiResponse:
     if code is ResultCode.CONFLICT:
         return ApiResponse(409, b"somebody was before you: look again\n")
-    return ApiResponse(503, b"no majority answered in time\n", _RETRY_AFTER)
+    return ApiResponse(503, b"no majority answered in time\n", RETRY_AFTER_HEADER)
--- a/leadrudder/control_plane/operator_api.py
+++ b/leadrudder/control_plane/operator_api.py
@@ -18,11 +18,10 @@
 from leadrudder.consensus.outputs import Answer, ResultCode
 from leadrudder.control_plane.orders import LATE_RESPONSE, OrderExecutor, OrderResult
 from leadrudder.protocol.mesh_pb2 import Item
-from leadrudder.transport.http import PLAIN_TEXT, ApiRequest, ApiResponse
+from leadrudder.transport.http import PLAIN_TEXT, RETRY_AFTER_HEADER, ApiRequest, ApiResponse
 
 CALL_TIMEOUT_S = 0.95  # clients time out after one second and then try another node
 _JSON_FIELDS = b"Content-Type: application/json\r\n"
-_RETRY_AFTER = b"Retry-After: 0.2\r\n"
 
 ReadItems = Callable[[], Awaitable[Answer]]
 PackSnapshot = Callable[[Iterable[Item]], bytes]
@@ -102,7 +101,7 @@
                         response = await self._fallback(call) if self._fallback is not None else None
                         return response if response is not None else ApiResponse(404)
         except TimeoutError:
-            return ApiResponse(503, b"no majority answered in time\n", _RETRY_AFTER)
+            return ApiResponse(503, b"no majority answered in time\n", RETRY_AFTER_HEADER)
 
     async def _patch_config(self, call: ApiRequest) -> ApiResponse:
         parsed = validation.parse(call.body)
@@ -115,7 +114,7 @@
             # The view of this process may be stale: a majority knows whether the service exists.
             answer = await self._read_items()
             if answer.code is not ResultCode.DONE:
-                return ApiResponse(503, b"no majority answered in time\n", _RETRY_AFTER)
+                return ApiResponse(503, b"no majority answered in time\n", RETRY_AFTER_HEADER)
             item_store = ItemStore()
             item_store.merge(answer.items)
             findings = validation.unknown_services(patch, item_store.live_items(SERVICE_PREFIX))
@@ -131,7 +130,7 @@
         if answer.code is ResultCode.CONFLICT:
             self._log_buffer.record(f"409: {[c.key for c in patch.changes][:3]}")
             return ApiResponse(409, b"an item's version has another value already\n")
-        return ApiResponse(503, b"no majority answered in time\n", _RETRY_AFTER)
+        return ApiResponse(503, b"no majority answered in time\n", RETRY_AFTER_HEADER)
 
     def _reject(self, findings: list[validation.Finding]) -> ApiResponse:
         self._log_buffer.record(f"400: {findings[0]}")
@@ -140,7 +139,7 @@
     async def _get_config(self) -> ApiResponse:
         answer = await self._read_items()
         if answer.code is not ResultCode.DONE:
-            return ApiResponse(503, b"no majority answered in time\n", _RETRY_AFTER)
+            return ApiResponse(503, b"no majority answered in time\n", RETRY_AFTER_HEADER)
         item_store = ItemStore()
         item_store.merge(answer.items)
         return ApiResponse(200, json.dumps(item_store.as_configuration()).encode(), _JSON_FIELDS)
@@ -148,7 +147,7 @@
     async def _get_snapshot(self) -> ApiResponse:
         answer = await self._read_items()
         if answer.code is not ResultCode.DONE:
-            return ApiResponse(503, b"no majority answered in time\n", _RETRY_AFTER)
+            return ApiResponse(503, b"no majority answered in time\n", RETRY_AFTER_HEADER)
         return ApiResponse(
             200, self._pack_snapshot(answer.items), b"Content-Type: application/octet-stream\r\n"
         )
@@ -172,5 +171,5 @@
         if result is OrderResult.TOO_LATE:
             return LATE_RESPONSE
         if result is OrderResult.NO_MAJORITY:
-            return ApiResponse(503, b"no majority answered in time\n", _RETRY_AFTER)
+            return ApiResponse(503, b"no majority answered in time\n", RETRY_AFTER_HEADER)
         return ApiResponse(200)
--- a/leadrudder/control_plane/program.py
+++ b/leadrudder/control_plane/program.py
@@ -28,7 +28,7 @@
 from leadrudder.membership.registry import MemberRegistry
 from leadrudder.observability.invariants import Invariants
 from leadrudder.observability.loop_lag import LoopLag
-from leadrudder.observability.metrics import Metrics
+from leadrudder.observability.metrics import Metrics, peak_memory_bytes
 from leadrudder.protocol import mesh_pb2 as wire
 from leadrudder.protocol.mesh_pb2 import Frame, Item, Node
 from leadrudder.storage.store import (
@@ -42,6 +42,7 @@
 from leadrudder.storage.writer import BatchWriter, ThreadedWriter
 from leadrudder.transport.http import ApiRequest, ApiResponse, ApiServer
 from leadrudder.transport.link import Link, dial
+from leadrudder.transport.memory_budget import MemoryBudget
 
 if TYPE_CHECKING:
     from leadrudder.control_plane.maintenance import MaintenanceCoordinator
@@ -50,6 +51,8 @@
 DISK_CLOSE_TIMEOUT_S = 0.5  # to write the last records
 REDIAL_PERIOD_S = 0.25  # between attempts to connect to another control-plane node
 MEMBERS_COMPLETE_AFTER_S = 4.0  # of contact with a majority, after which the list of members is complete
+# Parts of the memory: for operators' requests and responses, and for updates that sessions have not read.
+API_MEMORY_FRACTION, SESSION_MEMORY_FRACTION = 0.5, 0.2
 HANDOVER_S = 0.6  # for requests in progress when this process hands over the sections it owns
 EXIT_MARGIN_S = 1.5  # before the end of the grace period, by which the process has exited in any case
 
@@ -103,11 +106,15 @@
         self._run_blocking = run_blocking
         self._startup = Startup(self.log_buffer.log_info)
         self._operator_api: OperatorApi | None = None
+        memory_bytes = settings.memory_limit_mb * 1e6
+        self._api_memory = MemoryBudget(API_MEMORY_FRACTION * memory_bytes)
+        self._max_session_bytes = SESSION_MEMORY_FRACTION * memory_bytes
         self._api_server = ApiServer(
             self._dispatch,
             lambda e: self.log_buffer.log_warning(f"unhandled exception in an operator request: {e!r}"),
             self._monotonic,
             self._loop_lag.earliest_arrival,
+            self._api_memory,
         )
 
     async def start(self) -> None:
@@ -182,6 +189,11 @@
         )
         metrics.add("news_merged_total", lambda: feeds.deferred_updates)
         metrics.add("session_unsent_bytes", feeds.max_unsent_bytes)
+        metrics.add("api_memory_bytes", lambda: self._api_memory.used_bytes)
+        metrics.add("api_memory_bytes_limit", lambda: self._api_memory.limit_bytes)
+        metrics.add("api_body_refusals_total", lambda: self._api_server.request_memory.refusals)
+        metrics.add("sessions_unsent_bytes", feeds.total_unsent_bytes)
+        metrics.add("process_peak_memory_bytes", peak_memory_bytes)
         metrics.add("loop_lag_seconds", self._loop_lag.seconds)
         metrics.add("loop_lag_highest_seconds", lambda: self._loop_lag.highest_s)
         metrics.add("process_cpu_seconds_total", time.process_time)
@@ -351,6 +363,10 @@
         if not self._can_serve(new) or self._is_stopping():
             link.abort()
             return
+        if new and self._feeds.total_unsent_bytes() > self._max_session_bytes:
+            self.log_buffer.log_warning("session refused: others have not read their updates yet")
+            link.abort()
+            return
         if new and hello.movable and (near := self._peers_in_zone(node.zone)):
             link.send(Frame(news=wire.StateUpdate(near=near)))
             return
--- a/leadrudder/data_plane/outbound.py
+++ b/leadrudder/data_plane/outbound.py
@@ -21,6 +21,7 @@
 from leadrudder.protocol.outcome import RequestFailure, ServerResponse
 from leadrudder.transport.body_stream import PART_BYTES
 from leadrudder.transport.http import (
+    RETRY_AFTER_HEADER,
     BufferedHttpMessage,
     HttpReader,
     render_response,
@@ -33,7 +34,6 @@
 UNREAD_ANSWER_TIMEOUT_S = 10.0  # after which a client that does not read its answer is disconnected
 SWEEP_INTERVAL_S = 0.25
 CLOSE_LINGER_S = 0.5  # wait for the client to close after the last answer
-RETRY_AFTER_HEADER = b"Retry-After: 0.2\r\n"
 _ATTEMPT_ID = re.compile(rb"[!-~]{1,200}")
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 _REPLACED_HEADERS = frozenset((b"time-left", b"target-server", b"calling-service", b"expect"))
--- a/leadrudder/data_plane/program.py
+++ b/leadrudder/data_plane/program.py
@@ -52,6 +52,7 @@
 REFUSAL_LOG_INTERVAL_S = 1.0
 # Parts of the memory: for all bodies that are held, and for those of requests among them.
 HELD_MEMORY_FRACTION, REQUEST_MEMORY_FRACTION = 0.55, 0.4
+API_MEMORY_FRACTION = 0.02  # for the local API's requests and responses
 MAX_OPEN_REQUESTS = 2000
 FINAL_SWEEP_INTERVAL_S = 0.05  # while the last requests are refused during a shutdown
 
@@ -146,7 +147,9 @@
             self._on_heartbeat, self._on_deregistered, self.ready, self._metrics().text
         )
         self._api_server = ApiServer(
-            self._dispatch, lambda error: self.log_buffer.log_warning(f"unhandled API error: {error!r}")
+            self._dispatch,
+            lambda error: self.log_buffer.log_warning(f"unhandled API error: {error!r}"),
+            memory=MemoryBudget(API_MEMORY_FRACTION * memory_bytes),
         )
         self._session = Session(
             settings.seed_link_addresses,
--- a/leadrudder/transport/http.py
+++ b/leadrudder/transport/http.py
@@ -20,6 +20,8 @@
 
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
+JSON_MEMORY_FACTOR = 12  # memory for the objects of a JSON document, by its size
+RETRY_AFTER_HEADER = b"Retry-After: 0.2\r\n"
 PLAIN_TEXT = b"Content-Type: text/plain\r\n"
 API_TIMEOUT_S = 10.0  # to receive a request completely, and for the caller to read its response
 
@@ -231,9 +233,16 @@
 
     def __init__(self, server: ApiServer) -> None:
         self._server = server
-        self._reader = HttpReader(self._on_message, requests=True)
+        self._reader = HttpReader(
+            self._on_message,
+            requests=True,
+            max_body_bytes=server.max_body_bytes,
+            budget=server.request_memory,
+        )
+        self._input_ended = False  # nothing more is read
+        self._unsent_bytes = 0  # of responses, as they count in the budget
         self._transport: asyncio.Transport | None = None
-        self._queue: list[tuple[HttpMessage, Caller]] = []
+        self._queue: list[tuple[BufferedHttpMessage, Caller]] = []
         # A caller sends its first request on an open connection, and each further one after a response.
         self._ready_at = 0.0
         self._task: asyncio.Task[None] | None = None
@@ -251,21 +260,41 @@
         self._timeout = asyncio.get_running_loop().call_later(API_TIMEOUT_S, self.drop)
 
     def data_received(self, data: bytes) -> None:
+        if self._input_ended:
+            return
         self._restart_timeout()
         try:
             self._reader.feed(data)
         except HttpMessageError as error:
-            self._write(render_response(error.status, b"", str(error).encode() + b"\n", close=True))
-            if self._transport is not None:
-                self._transport.close()
+            self._reject(error)
         if len(self._queue) > 100:
             self.drop()
 
+    def _reject(self, error: HttpMessageError) -> None:
+        """Answer an invalid request; the caller closes, as unread input would reset the answer."""
+        self._input_ended = True
+        fields = RETRY_AFTER_HEADER if error.status == 503 else b""
+        self._write(render_response(error.status, fields, str(error).encode() + b"\n", close=True))
+        if self._transport is not None and self._transport.can_write_eof():
+            self._transport.write_eof()
+
     def eof_received(self) -> bool:
         return False
 
+    def pause_writing(self) -> None:
+        """The caller does not read: its response takes memory meanwhile."""
+        if self._transport is not None:
+            self._unsent_bytes = self._transport.get_write_buffer_size()
+            self._server.memory.take(self._unsent_bytes)
+
+    def resume_writing(self) -> None:
+        self._server.memory.give_back(self._unsent_bytes)
+        self._unsent_bytes = 0
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
+        self.resume_writing()
+        self._reader.abandon()
         self._server.connections.discard(self)
         if self._timeout is not None:
             self._timeout.cancel()
@@ -277,7 +306,8 @@
     def _on_message(self, message: HttpMessage) -> None:
         # A pipelined request may have arrived before the last response was written.
         sent_after = min(self._ready_at, self._server.earliest_arrival())
-        self._queue.append((message, Caller(sent_after, self._is_connected, self._server.monotonic)))
+        caller = Caller(sent_after, self._is_connected, self._server.monotonic)
+        self._queue.append((cast(BufferedHttpMessage, message), caller))
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._serve_requests())
 
@@ -286,13 +316,7 @@
             message, caller = self._queue.pop(0)
             path = message.target.partition(b"?")[0].decode("latin-1")
             segments = tuple(part for part in path.split("/") if part)
-            try:
-                response = await self._server.dispatch(
-                    ApiRequest(message.method.decode("latin-1"), segments, message.body, caller)
-                )
-            except Exception as error:  # an internal error must not leave the caller waiting
-                self._server.on_error(error)
-                response = ApiResponse(500)
+            response = await self._respond(message, segments, caller)
             close = not message.keep_alive or response.close or self._server.closing
             self._write(render_response(response.status, response.fields, response.body, close=close))
             self._ready_at = self._server.monotonic()
@@ -301,6 +325,22 @@
                 self._transport.close()
         self._task = None
 
+    async def _respond(
+        self, message: BufferedHttpMessage, segments: tuple[str, ...], caller: Caller
+    ) -> ApiResponse:
+        if self._server.memory.is_full() and message.method == b"GET":
+            return ApiResponse(503, b"no memory for the response now\n", RETRY_AFTER_HEADER)
+        body = message.body if message.large_body is None else message.large_body.read_all()
+        request = ApiRequest(message.method.decode("latin-1"), segments, body, caller)
+        try:
+            return await self._server.dispatch(request)
+        except Exception as error:  # an internal error must not leave the caller waiting
+            self._server.on_error(error)
+            return ApiResponse(500)
+        finally:
+            if message.large_body is not None:
+                message.large_body.release()
+
     def _is_connected(self) -> bool:
         return self._transport is not None and not self._transport.is_closing()
 
@@ -313,6 +353,7 @@
     """Listens for API requests and passes each to dispatch.
 
     monotonic: the time in seconds.  earliest_arrival: when input that is read now can have arrived first.
+    memory: for requests and unread responses; a request is counted with the memory that its JSON takes.
     """
 
     def __init__(
@@ -321,7 +362,11 @@
         on_error: Callable[[Exception], None],
         monotonic: Callable[[], float] = time.monotonic,
         earliest_arrival: Callable[[], float] = time.monotonic,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self.memory = memory or MemoryBudget()
+        self.request_memory = MemoryBudget(self.memory.limit_bytes, self.memory, JSON_MEMORY_FACTOR)
+        self.max_body_bytes = int(min(MAX_BODY_BYTES, self.memory.limit_bytes / JSON_MEMORY_FACTOR))
         self.dispatch, self.on_error = dispatch, on_error
         self.monotonic, self.earliest_arrival = monotonic, earliest_arrival
         self.connections: set[ApiConnection] = set()
