Soak: large bodies both ways, SIGTERMs while a process starts, disks with errors, and the peak memory of each process

A process above ramMb, or one that ends with another code than 0 by an early SIGTERM, breaks an invariant; a SIGTERM before a process's first line is still excused, as the interpreter ends there.

--- a/bench/bulk.py
+++ b/bench/bulk.py
@@ -22,6 +22,17 @@
     return _PATTERN[start : start + size]
 
 
+def pattern_bytes(size: int) -> bytes:
+    """A whole body."""
+    pieces = (pattern(offset, min(PIECE_BYTES, size - offset)) for offset in range(0, size, PIECE_BYTES))
+    return b"".join(pieces)
+
+
+def is_pattern(body: bytes) -> bool:
+    """Whether a body is as its sender made it."""
+    return body == pattern_bytes(len(body))
+
+
 @dataclass(slots=True)
 class BulkRun:
     """What a server has read of one request."""
@@ -108,6 +119,8 @@
     answer_bytes: int = 0
     pause_s: float = 0.0
     time_left_ms: int = 20_000
+    host: str = "demo.example"
+    path: str = "/haku/bulk"
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,7 +155,7 @@
 
 async def _send_body(writer: asyncio.StreamWriter, request: BulkRequest) -> None:
     head = (
-        f"POST /haku/bulk HTTP/1.1\r\nHost: demo.example\r\nAttempt-Id: {request.attempt_id}\r\n"
+        f"POST {request.path} HTTP/1.1\r\nHost: {request.host}\r\nAttempt-Id: {request.attempt_id}\r\n"
         f"Time-Left: {request.time_left_ms}\r\nAnswer-Bytes: {request.answer_bytes}\r\n"
         f"Content-Length: {request.body_bytes}\r\n\r\n"
     )
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -18,8 +18,9 @@
 from pathlib import Path
 from random import Random
 
+from bench.soak.bulk import BulkClients
 from bench.soak.bursts import BurstClients
-from bench.soak.checks import check_invariants
+from bench.soak.checks import check_exits, check_invariants
 from bench.soak.evacuations import EvacuationOperator
 from bench.soak.faults import (
     CONTROL_FAULT_KINDS,
@@ -31,10 +32,11 @@
     plan_faults,
 )
 from bench.soak.machine import InvariantError
+from bench.soak.memory import MemoryWatch
 from bench.soak.operators import Operators
 from bench.soak.restarts import Restarts
 from bench.soak.rivals import RivalOperators
-from bench.soak.world import World
+from bench.soak.world import LONG_REQUESTS, World
 
 READY_TIMEOUT_S = 20.0
 RECOVERY_TIME_S = 6.0  # after the last fault, for the mesh to recover before the final checks
@@ -62,10 +64,16 @@
     copies: int = 0
     overlaps: int = 0
     held_ports: int = 0
+    early_sigterms: int = 0
+    disk_errors: int = 0
+    bulk: int = 0
+    bulk_served: int = 0
+    bulk_refused: int = 0
     shed: int = 0
     checks: int = 0
     ack_max_s: float = 0.0
     lag_max_s: float = 0.0
+    memory_max_mb: int = 0
     broken: str = ""
 
 
@@ -83,10 +91,13 @@
     operators = Operators(world, Random(f"operators/{seed}"))
     rivals = RivalOperators(world, Random(f"rivals/{seed}"))
     bursts = BurstClients(world.base_port + 2, Random(f"bursts/{seed}"))
+    bulk = BulkClients(world.base_port + 2, LONG_REQUESTS, Random(f"bulk/{seed}"))
+    memory = MemoryWatch(world)
     restarts = Restarts(world, Random(f"restarts/{seed}"), TERMINATION_TIMEOUT_S)
     injector = FaultInjector(world, operators, rivals, bursts, restarts)
     evacuations = EvacuationOperator(world, Random(f"evacuations/{seed}"), injector.busy_hosts)
     await world.start()
+    memory_task = asyncio.ensure_future(memory.run())
     try:
         await operators.configure()
         await rivals.configure()
@@ -101,17 +112,25 @@
         change_tasks = [asyncio.ensure_future(operators.change_until(end)) for _ in range(2)]
         change_tasks.append(asyncio.ensure_future(rivals.change_until(end)))
         read_tasks = [asyncio.ensure_future(each.read_until(end)) for each in (operators, rivals)]
+        bulk_tasks = [
+            asyncio.ensure_future(bulk.send_until(machine.host, end)) for machine in world.node_machines
+        ]
         evacuation_task = asyncio.ensure_future(evacuations.run_until(end))
         injected = await injector.run(faults)
         await asyncio.gather(*change_tasks, *read_tasks, evacuation_task)
         await asyncio.sleep(RECOVERY_TIME_S)
         await bursts.wait_for_answers()
+        await asyncio.gather(*bulk_tasks)
+        memory.sample()
+        memory.check()
+        check_exits(world)
         await rivals.check_all_machines()
-        totals = await check_invariants(world, operators, evacuations, bursts, injector.spans)
+        totals = await check_invariants(world, operators, evacuations, bursts, bulk, injector.spans)
     except InvariantError:
         await world.save_diagnostics()
         raise
     finally:
+        memory_task.cancel()
         errors = [*await world.shut_down(), *world.logged_errors()]
     if errors:
         raise InvariantError("; ".join(errors))
@@ -136,10 +155,16 @@
         world.refusal_copies(),
         restarts.overlapping,
         restarts.held_ports,
+        restarts.early_sigterms,
+        restarts.disk_errors,
+        len(bulk.sent),
+        sum(each.answer.status == 200 for each in bulk.sent),
+        sum(each.answer.status == 503 for each in bulk.sent),
         totals.shed,
         totals.checks,
         operators.slowest_ack_s,
         totals.lag_max_s,
+        memory.peak_mb,
     )
 
 
@@ -182,7 +207,7 @@
     parts = [f"seeds={len(all_results)}"]
     for each in fields(SeedResult)[1:-1]:
         values = [getattr(result, each.name) for result in all_results]
-        most = each.name.endswith("_s")
+        most = "_max_" in each.name
         parts.append(f"{each.name}={max(values):.2f}" if most else f"{each.name}={sum(values)}")
     return " ".join([*parts, f"broken={broken}"]), broken
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
+from bench.soak.bulk import BulkClients, check_bulk
 from bench.soak.bursts import BurstClients, check_bursts
 from bench.soak.clients import NOT_RUN_STATUSES, ObservedRequest
 from bench.soak.evacuations import EvacuationOperator, FaultSpan, late_arrivals
@@ -19,7 +20,7 @@
 # Room for a whole snapshot besides the queued bytes.
 MAX_UNSENT_BYTES_OF_SESSION = MAX_UNSENT_BYTES + 1024 * 1024
 # These must be 0 once the clients have stopped.
-OPEN_REQUEST_METRICS = ("requests_open", "calls_running", "operator_calls_open")
+OPEN_REQUEST_METRICS = ("requests_open", "calls_running", "operator_calls_open", "held_body_bytes")
 MIN_SERVED_FRACTION = 0.3  # of all requests of the soak
 MAX_EXIT_DELAY_S = 1.5  # exit of a process after it closed its connections; a blocking dial may delay it
 EVACUATION_PROBES = 10  # requests sent at each machine at the end
@@ -38,11 +39,11 @@
     operators: Operators,
     evacuations: EvacuationOperator,
     bursts: BurstClients,
+    bulk: BulkClients,
     faults: Sequence[FaultSpan],
 ) -> MetricTotals:
     """InvariantError if an invariant is violated.  faults: as injected."""
-    if world.unexpected_exits:
-        raise InvariantError("; ".join(world.unexpected_exits))
+    check_exits(world)
     await _check_reads(world, operators)
     await _check_nodes_apply_changes(world, operators)
     await _check_last_evacuations(world, evacuations)
@@ -54,10 +55,17 @@
     for burst in bursts.bursts:
         for sent in burst.requests:
             check_promises(world.runs_by_attempt(), sent)
+    check_bulk(world.runs_by_attempt(), world.damaged_ids(), bulk.sent)
     _check_served_fraction(world.sent_requests())
     return await _check_metrics(world)
 
 
+def check_exits(world: World) -> None:
+    """No process has ended that the soak has not ended."""
+    if world.unexpected_exits:
+        raise InvariantError("; ".join(world.unexpected_exits))
+
+
 async def _check_reads(world: World, operators: Operators) -> None:
     """Every control machine answers reads once the faults are over, with all acknowledged changes."""
     for machine in world.control_machines:
--- a/bench/soak/machine.py
+++ b/bench/soak/machine.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from bench.bulk import ANSWER_BYTES_HEADER, is_pattern, pattern_bytes
 from bench.soak.clients import KeepAliveClient
 from leadrudder.emulation.standins import Clients, Server, ServerConnection
 from leadrudder.transport.http import BufferedHttpMessage
@@ -40,13 +41,19 @@
     def __init__(self, *arguments: Any, **keywords: Any) -> None:
         super().__init__(*arguments, **keywords)
         self.arrivals: list[Arrival] = []
+        self.damaged_ids: set[str] = set()  # attempts whose large body was not as its client sent it
 
     def handle(self, message: BufferedHttpMessage, connection: ServerConnection) -> None:
         if message.headers.get(b"target-server", b"").decode() in ("", self.id):
             attempt_id = message.headers.get(b"attempt-id", b"").decode()
             self.arrivals.append(Arrival(asyncio.get_running_loop().time(), attempt_id))
+            if ANSWER_BYTES_HEADER in message.headers and not is_pattern(message.body):
+                self.damaged_ids.add(attempt_id)
         super().handle(message, connection)
 
+    def _response_body(self, message: BufferedHttpMessage) -> bytes:
+        return pattern_bytes(int(message.headers.get(ANSWER_BYTES_HEADER, b"5")))
+
     def _run(self, message: BufferedHttpMessage, answer: Callable[[bytes], None]) -> None:
         dropped = self.rng.random() < self.drop_fraction
         super()._run(message, (lambda data: None) if dropped else answer)
--- a/bench/soak/planted_faults.py
+++ b/bench/soak/planted_faults.py
@@ -12,6 +12,7 @@
 from leadrudder.data_plane.peer_links import PeerLinks
 from leadrudder.data_plane.server_connections import LocalServerConnection
 from leadrudder.transport.caller import Caller
+from leadrudder.transport.large_body import LargeBody
 from leadrudder.transport.link import Link
 from tests.mesh import planted_faults
 
@@ -67,6 +68,25 @@
         yield
 
 
+@contextmanager
+def disk_errors_end_the_start() -> Iterator[None]:
+    """A disk that reports errors is tried once: a fault of issue 79."""
+    with mock.patch.object(takeover, "disk_in_trouble", lambda error: False):
+        yield
+
+
+@contextmanager
+def parts_out_of_place() -> Iterator[None]:
+    """A large body is read at a wrong place."""
+    read = LargeBody.read
+
+    def read_elsewhere(body: LargeBody, offset: int, size: int) -> bytes:
+        return read(body, max(0, offset - 1), size)
+
+    with mock.patch.object(LargeBody, "read", read_elsewhere):
+        yield
+
+
 PLANTED_FAULTS: dict[str, Callable[[], Any]] = {
     fault.__name__: fault
     for fault in (
@@ -75,6 +95,8 @@
         unannounced_stop,
         ids_sent_again,
         addresses_tried_once,
+        disk_errors_end_the_start,
+        parts_out_of_place,
         planted_faults.unfound_items_committed,
         planted_faults.read_by_one,
         planted_faults.one_copy_is_enough,
--- a/bench/soak/process.py
+++ b/bench/soak/process.py
@@ -6,28 +6,34 @@
 
 from __future__ import annotations
 
-import argparse
-import asyncio
 import os
-import random
-import signal
-import socket
-import sys
-import time
-from contextlib import AbstractContextManager, nullcontext
-from typing import Any
 
-from absl import logging
+from leadrudder.bootstrap.early_signals import handle_early_signals
 
-from leadrudder.bootstrap.event_loop import ProcessLoop
-from leadrudder.bootstrap.settings import load_settings
-from leadrudder.control_plane.program import ControlPlaneNode
-from leadrudder.data_plane.program import DataPlaneNode
+EARLY_SIGNALS_HANDLED_LINE = b"early signals are handled from now on\n"  # in the log of a process
+if __name__ == "__main__":
+    handle_early_signals()
+    os.write(2, EARLY_SIGNALS_HANDLED_LINE)
+
+import argparse  # noqa: E402
+import asyncio  # noqa: E402
+import random  # noqa: E402
+import socket  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from contextlib import AbstractContextManager, nullcontext  # noqa: E402
+from typing import Any  # noqa: E402
+
+from absl import logging  # noqa: E402
+
+from leadrudder.bootstrap.event_loop import ProcessLoop  # noqa: E402
+from leadrudder.bootstrap.settings import load_settings  # noqa: E402
+from leadrudder.control_plane.program import ControlPlaneNode  # noqa: E402
+from leadrudder.data_plane.program import DataPlaneNode  # noqa: E402
 
 RELAY_ENV_VARIABLE = "LEADRUDDER_SOAK_RELAY"  # IP:PORT of the relay
 HOST_ENV_VARIABLE = "LEADRUDDER_SOAK_HOST"  # IP address of the machine that the process belongs to
 ACCEPTED = b"+"
-SIGNALS_HANDLED_LINE = "signals are handled from now on"  # in the log of a process
 STALL_FRACTION = 0.1  # of dials, during which the process does nothing else
 STALL_S = 0.75  # longer than the timeout of a dial
 
@@ -35,13 +41,6 @@
 class RelayedLoop(ProcessLoop):
     """An event loop that opens connections to other machines through the relay."""
 
-    def add_signal_handler(  # type: ignore[override]  # without the types of variadic arguments
-        self, sig: int, callback: Any, *arguments: Any
-    ) -> None:
-        super().add_signal_handler(sig, callback, *arguments)
-        if sig == signal.SIGHUP:  # the last one that both programs handle
-            print(SIGNALS_HANDLED_LINE, file=sys.stderr, flush=True)
-
     async def create_connection(  # type: ignore[override]  # covers both overloads
         self, factory: Any, host: Any = None, port: Any = None, **options: Any
     ) -> Any:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -20,7 +20,7 @@
 
 from bench.soak.clients import KeepAliveClient, ObservedRequest
 from bench.soak.machine import Arrival, InvariantError, Log, Machine, ObservedServer
-from bench.soak.process import HOST_ENV_VARIABLE, RELAY_ENV_VARIABLE, SIGNALS_HANDLED_LINE
+from bench.soak.process import EARLY_SIGNALS_HANDLED_LINE, HOST_ENV_VARIABLE, RELAY_ENV_VARIABLE
 from bench.soak.relay import Relay
 from leadrudder.emulation.standins import (
     Clients,
@@ -49,6 +49,7 @@
 KEEP_ALIVE_CLIENTS_PER_NODE = 2  # with one keep-alive connection each
 KEEP_ALIVE_MEAN_PAUSE_S = 0.25  # between two requests on one of these connections
 FULL_RATE_NODES = 4  # beyond these, each machine's rate falls: all clients and servers share one process
+MEMORY_LIMIT_MB = 300  # of each process, by its settings
 CALL_TIMEOUT_S = 1.0
 APPLY_TIMEOUT_S = 2.5
 SETTINGS_TEMPLATE = """nodeName = "{name}"
@@ -66,7 +67,7 @@
 controlPort = "{host}:{control}"
 {more}
 [limits]
-ramMb = 300
+ramMb = {ram_mb}
 [withstand]
 machineLosses = 1
 """
@@ -171,10 +172,11 @@
             last=self.base_port + 9,
             seeds=", ".join(f'"{core.host}:{self.base_port}"' for core in self.control_machines),
             first="true" if first else "false",
-            folder="" if has_service else self.folder / f"disk-{machine.host}",
+            folder="" if has_service else self.disk_path(machine),
             app=self.base_port + 1,
             service=machine.service,
             control=self.base_port,
+            ram_mb=MEMORY_LIMIT_MB,
             more=f"{outbound}\n{readiness}" if has_service else "",
         )
 
@@ -210,18 +212,39 @@
             )
 
     def _starting(self, machine: Machine) -> bool:
-        """Whether its process has not reached the code that handles signals yet."""
+        """Whether its process has not reached its first line yet, before which a SIGTERM ends it."""
         log = (self.folder / f"{machine.host}.log").read_bytes()
-        return SIGNALS_HANDLED_LINE.encode() not in log[machine.log_offset :]
+        return EARLY_SIGNALS_HANDLED_LINE not in log[machine.log_offset :]
 
     def reload_settings(self, machine: Machine) -> None:
         """SIGHUP: reload the settings."""
         if machine.process is not None and not machine.stopped_on_purpose:
             self.send(machine.process, signal.SIGHUP)
 
+    def disk_path(self, machine: Machine) -> Path:
+        return self.folder / f"disk-{machine.host}"
+
+    def break_disk(self, machine: Machine) -> None:
+        """Let every access to the disk of a machine whose process is down fail, until mend_disk."""
+        disk = self.disk_path(machine)
+        if disk.is_dir():
+            disk.rename(disk.with_suffix(".away"))
+        disk.write_bytes(b"")
+
+    def mend_disk(self, machine: Machine) -> None:
+        disk = self.disk_path(machine)
+        disk.unlink()
+        if disk.with_suffix(".away").is_dir():
+            disk.with_suffix(".away").rename(disk)
+
+    def damaged_ids(self) -> set[str]:
+        """Attempts whose large body reached a server damaged."""
+        servers = (machine.server for machine in self.node_machines)
+        return {each for server in servers if server is not None for each in server.damaged_ids}
+
     def wipe_disk(self, machine: Machine) -> None:
         """Delete the disk of a machine whose process is down."""
-        shutil.rmtree(self.folder / f"disk-{machine.host}", ignore_errors=True)
+        shutil.rmtree(self.disk_path(machine), ignore_errors=True)
 
     def pause(self, machine: Machine) -> None:
         self._signal(machine, signal.SIGSTOP)
--- a/leadrudder/bootstrap/takeover.py
+++ b/leadrudder/bootstrap/takeover.py
@@ -13,7 +13,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from leadrudder.storage.store import DiskError, DiskInUseError
+from leadrudder.storage.store import DiskError, DiskInUseError, UnusableDiskError
 from leadrudder.transport.http import RETRY_AFTER_HEADER, ApiRequest, ApiResponse
 
 TAKEOVER_TIMEOUT_S = (
@@ -31,6 +31,11 @@
     return isinstance(error, OSError) and error.errno in _ABSENT_ADDRESS_ERRORS
 
 
+def disk_in_trouble(error: Exception) -> bool:
+    """Whether the disk reports errors, which may pass."""
+    return isinstance(error, DiskError) and not isinstance(error, DiskInUseError | UnusableDiskError)
+
+
 def describe(error: Exception) -> str:
     """What has to happen before something can be had."""
     if isinstance(error, DiskInUseError) or (isinstance(error, OSError) and error.errno == errno.EADDRINUSE):
@@ -69,6 +74,19 @@
         """Listen at an address as soon as it can be had; raises OSError after TAKEOVER_TIMEOUT_S."""
         return await self.retry_while(address_unavailable, listen, TAKEOVER_TIMEOUT_S)
 
+    async def open_disk(self, open_disk: Callable[[], Awaitable[ResultT]]) -> ResultT:
+        """Open the disk as soon as it is free and reports no errors.
+
+        Raises DiskInUseError after TAKEOVER_TIMEOUT_S, UnusableDiskError at once.
+        """
+
+        async def open_when_free() -> ResultT:
+            return await self.retry_while(
+                lambda error: isinstance(error, DiskInUseError), open_disk, TAKEOVER_TIMEOUT_S
+            )
+
+        return await self.retry_while(disk_in_trouble, open_when_free)
+
     async def retry_while(
         self,
         is_passing: Callable[[Exception], bool],
--- a/leadrudder/control_plane/program.py
+++ b/leadrudder/control_plane/program.py
@@ -16,7 +16,7 @@
 from leadrudder.bootstrap.log_buffer import LogBuffer
 from leadrudder.bootstrap.serving import serve_until_stopped
 from leadrudder.bootstrap.settings import Settings
-from leadrudder.bootstrap.takeover import TAKEOVER_TIMEOUT_S, Startup
+from leadrudder.bootstrap.takeover import Startup
 from leadrudder.configuration.item_store import ItemStore
 from leadrudder.consensus.lease import DUTIES, MAINTENANCE, MEMBER_EXPIRY
 from leadrudder.consensus.outputs import Answer, Committed, LogLine, Output, Send, Write
@@ -31,14 +31,7 @@
 from leadrudder.observability.metrics import Metrics, peak_memory_bytes
 from leadrudder.protocol import mesh_pb2 as wire
 from leadrudder.protocol.mesh_pb2 import Frame, Item, Node
-from leadrudder.storage.store import (
-    DbmStore,
-    DiskError,
-    DiskInUseError,
-    MemoryStore,
-    Store,
-    UnusableDiskError,
-)
+from leadrudder.storage.store import DbmStore, MemoryStore, Store
 from leadrudder.storage.writer import BatchWriter, ThreadedWriter
 from leadrudder.transport.http import ApiRequest, ApiResponse, ApiServer
 from leadrudder.transport.link import Link, dial
@@ -120,7 +113,7 @@
     async def start(self) -> None:
         if self.settings.control is not None:
             await self._startup.listen(partial(self._api_server.listen, self.settings.control))
-        records = await self._open_store()
+        records = await self._startup.open_disk(lambda: self._run_blocking(self._store.open))
         corruption = getattr(self._store, "corrupt", "")
         if corruption:
             self.log_buffer.log_warning(f"disk is corrupt and treated as lost: {corruption}")
@@ -206,24 +199,6 @@
             return self._startup.respond(request)
         return await self._operator_api.dispatch(request)
 
-    async def _open_store(self) -> dict[str, bytes]:
-        """Read all records from the disk, as soon as it is free and reports no errors."""
-
-        async def open_store() -> dict[str, bytes]:
-            return await self._run_blocking(self._store.open)
-
-        async def open_when_free() -> dict[str, bytes]:
-            return await self._startup.retry_while(
-                lambda error: isinstance(error, DiskInUseError), open_store, TAKEOVER_TIMEOUT_S
-            )
-
-        return await self._startup.retry_while(
-            lambda error: (
-                isinstance(error, DiskError) and not isinstance(error, DiskInUseError | UnusableDiskError)
-            ),
-            open_when_free,
-        )
-
     async def run(self) -> None:
         if not await serve_until_stopped(
             self.start(), self._stopped, terminate=self.terminate, reload=lambda: None
--- a/leadrudder/emulation/standins.py
+++ b/leadrudder/emulation/standins.py
@@ -234,7 +234,8 @@
         def finish(status: int = 200) -> None:
             self.running -= 1
             seal = b"Server-Seal: s\r\n" if status == 200 else b""
-            answer(render_response(status, self._response_headers(message) + seal, b"done\n"))
+            body = self._response_body(message)
+            answer(render_response(status, self._response_headers(message) + seal, body))
             if self.waiting:
                 self._run(*self.waiting.popleft())
 
@@ -262,6 +263,9 @@
                 return
         on_done(200)
 
+    def _response_body(self, message: BufferedHttpMessage) -> bytes:
+        return b"done\n"
+
     def _response_headers(self, message: BufferedHttpMessage) -> bytes:
         load = b"%d,%d,%d" % (self.running, len(self.waiting), self.slots)
         return b"Attempt-Id: %s\r\nServer-Load: %s\r\n" % (message.headers.get(b"attempt-id", b""), load)
--- a/tests/mesh/test_start_and_end.py
+++ b/tests/mesh/test_start_and_end.py
@@ -224,7 +224,7 @@
             return "records"
 
         with mock.patch.object(takeover, "RETRY_INTERVAL_S", 0.0):
-            opened = await startup.retry_while(lambda error: isinstance(error, DiskError), open_disk)
+            opened = await startup.open_disk(open_disk)
         self.assertEqual(opened, "records")
         self.assertEqual((responses[0].status, b"disk: [Errno 5]" in responses[0].body), (503, True))
         self.assertIn("waiting for the disk: [Errno 5] Input/output error", lines)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,13 +11,17 @@
 from random import Random
 from types import SimpleNamespace
 from typing import Any, cast
+from unittest import mock
 
+from bench.bulk import BulkAnswer, BulkRequest
+from bench.soak.bulk import SentBulk, check_bulk
 from bench.soak.checks import check_keep_alive_requests, check_requests
 from bench.soak.clients import ObservedRequest, read_response
 from bench.soak.faults import CONTROL_FAULT_KINDS, RECOVERY_GAP_S, FaultKind, count_overlapping, plan_faults
 from bench.soak.machine import InvariantError
+from bench.soak.memory import MemoryWatch
 from bench.soak.operators import AcknowledgedRoute, Operators, idle_route_name, route_record
-from bench.soak.process import SIGNALS_HANDLED_LINE
+from bench.soak.process import EARLY_SIGNALS_HANDLED_LINE
 from bench.soak.relay import Relay
 from bench.soak.world import World
 from leadrudder.emulation.standins import SentRequest
@@ -53,16 +57,47 @@
             world = World(1, folder)
             machine = world.node_machines[0]
             log_path = folder / f"{machine.host}.log"
-            log_path.write_text(f"{SIGNALS_HANDLED_LINE}\n")
+            log_path.write_bytes(EARLY_SIGNALS_HANDLED_LINE)
             machine.log_offset = log_path.stat().st_size
             self.assertTrue(world._starting(machine))
-            log_path.write_text(f"{SIGNALS_HANDLED_LINE}\nstarting\n{SIGNALS_HANDLED_LINE}\n")
+            log_path.write_bytes(EARLY_SIGNALS_HANDLED_LINE + b"stopped\n" + EARLY_SIGNALS_HANDLED_LINE)
             self.assertFalse(world._starting(machine))
 
         with tempfile.TemporaryDirectory() as folder:
             asyncio.run(check(Path(folder)))
 
 
+class BulkTest(unittest.TestCase):
+    def test_damaged_bodies_and_broken_promises_are_found(self) -> None:
+        request = BulkRequest("u-1", 10, 20)
+        for runs, damaged, answer, broken in (
+            ({"u-1": 1}, set(), BulkAnswer(200, 20, True), ""),
+            ({}, set(), BulkAnswer(503), ""),
+            ({"u-1": 1}, set(), BulkAnswer(0), ""),
+            ({"u-1": 1}, {"u-1"}, BulkAnswer(200, 20, True), "UNASKED"),
+            ({"u-1": 1}, set(), BulkAnswer(200, 20, False), "MIXED"),
+            ({"u-1": 1}, set(), BulkAnswer(200, 19, True), "MIXED"),
+            ({"u-1": 2}, set(), BulkAnswer(0), "ran 2 times"),
+            ({"u-1": 1}, set(), BulkAnswer(503), "did not"),
+            ({}, set(), BulkAnswer(200, 20, True), "no server ran it"),
+        ):
+            with self.subTest(runs=runs, damaged=damaged, answer=answer):
+                try:
+                    check_bulk(runs, damaged, [SentBulk(request, answer)])
+                    found = ""
+                except InvariantError as error:
+                    found = str(error)
+                self.assertEqual((bool(found), broken in found), (bool(broken), True))
+
+    def test_a_process_above_its_limit_is_found(self) -> None:
+        machine = SimpleNamespace(role="station", host="h", process=SimpleNamespace(pid=1, returncode=None))
+        watch = MemoryWatch(cast(Any, SimpleNamespace(machines=[machine])))
+        for peak_mb, is_exceeded in ((286, False), (287, True)):
+            with mock.patch("bench.soak.memory.peak_memory_mb", return_value=peak_mb):
+                watch.sample()
+            self.assertEqual(bool(watch.exceeded), is_exceeded)
+
+
 class RelayTest(unittest.TestCase):
     def test_a_blocked_direction_delays_bytes_and_loses_none(self) -> None:
         asyncio.run(self.run_over_relay(self.check_blocked_direction))
