Closed standard streams, SIGINT and too few descriptors: the end is orderly, and says why

Now closed standard streams are opened on the null device first, SIGINT is taken as SIGTERM, and the program's coroutine is closed where there is no loop to run it. The tests fail without these changes (codes -6, -2, other last line).

--- a/leadrudder/__main__.py
+++ b/leadrudder/__main__.py
@@ -13,6 +13,7 @@
 import time  # noqa: E402
 
 from leadrudder.bootstrap import event_loop  # noqa: E402
+from leadrudder.bootstrap.standard_streams import open_standard_streams  # noqa: E402
 from leadrudder.node.config import Config, ConfigError, load_config  # noqa: E402
 from leadrudder.node.node import Node  # noqa: E402
 
@@ -62,6 +63,7 @@
 
 def main() -> int:
     """Exit code 0 after SIGTERM; 2, with one line on standard error, for a bad configuration."""
+    open_standard_streams()
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     logging.getLogger().handlers[0].addFilter(_LogRateLimit())
     try:
--- a/leadrudder/bootstrap/early_signals.py
+++ b/leadrudder/bootstrap/early_signals.py
@@ -15,9 +15,10 @@
 
 
 def handle_early_signals() -> None:
-    """Ignore SIGHUP, and end the process with exit code 0 at a SIGTERM, as nothing has been started yet."""
+    """Ignore SIGHUP, and end the process with exit code 0 at a SIGTERM or SIGINT: nothing is started yet."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, _end_process)
+    signal.signal(signal.SIGINT, _end_process)
 
 
 def _end_process(signal_number: int, frame: FrameType | None) -> None:
--- a/leadrudder/bootstrap/event_loop.py
+++ b/leadrudder/bootstrap/event_loop.py
@@ -46,5 +46,8 @@
 
 def run(main: Coroutine[Any, Any, ResultT]) -> ResultT:
     """Run the main coroutine of a program in a ProcessLoop."""
-    with asyncio.Runner(loop_factory=ProcessLoop) as runner:
-        return runner.run(main)
+    try:
+        with asyncio.Runner(loop_factory=ProcessLoop) as runner:
+            return runner.run(main)
+    finally:
+        main.close()  # if there was no loop to run it
--- a/leadrudder/bootstrap/serving.py
+++ b/leadrudder/bootstrap/serving.py
@@ -17,7 +17,7 @@
 ) -> bool:
     """Start a program, and wait until it has stopped.  False if it was terminated before it had started.
 
-    terminate: called at SIGTERM, must lead to stopped; reload: called at SIGHUP.
+    terminate: called at SIGTERM or SIGINT, must lead to stopped; reload: called at SIGHUP.
     """
     loop = asyncio.get_running_loop()
     starting = asyncio.ensure_future(start)
@@ -29,6 +29,7 @@
             starting.cancel()
 
     loop.add_signal_handler(signal.SIGTERM, on_sigterm)
+    loop.add_signal_handler(signal.SIGINT, on_sigterm)
     loop.add_signal_handler(signal.SIGHUP, reload)
     await asyncio.wait([starting])
     if starting.cancelled():
--- a/leadrudder/bootstrap/start.py
+++ b/leadrudder/bootstrap/start.py
@@ -13,6 +13,7 @@
 
 from leadrudder.bootstrap import event_loop
 from leadrudder.bootstrap.settings import FILE_VARIABLE, Settings, load_settings
+from leadrudder.bootstrap.standard_streams import open_standard_streams
 
 
 def run_program(
@@ -27,6 +28,7 @@
     It is 1 after any other exception.  The last line on standard error names the reason of an exit code other
     than 0.  unusable: the exceptions by which serve reports unusable addresses or disks.
     """
+    open_standard_streams()
     description = f"leadrudder's {about}. {FILE_VARIABLE} holds the path of its settings file."
     parser = argparse.ArgumentParser(prog=f"python -m {program}", description=description)
     parser.add_argument(
--- a/tests/mesh/test_start_and_end.py
+++ b/tests/mesh/test_start_and_end.py
@@ -24,7 +24,7 @@
 from leadrudder.storage.store import DbmStore, DiskError, DiskInUseError
 from leadrudder.transport.http import ApiRequest
 from leadrudder.transport.link import Link, dial
-from tests.mesh.programs import HOST, PROGRAMS, Program
+from tests.mesh.programs import HOST, PROGRAMS, START_TIMEOUT_S, Program
 from tests.mesh.test_emulation import PLAN
 
 # Sends SIGHUP to its own process when a program first imports a module.
@@ -281,6 +281,45 @@
                     time.sleep(SIGHUP_INTERVAL_S)
                 self.assertEqual(process.wait(5.0), 0, program.log())
 
+    def test_closed_standard_streams_do_not_abort_the_end(self) -> None:
+        for module in PROGRAMS:
+            with self.subTest(module):
+                program = self.create(module)
+                process = program.start(("sh", "-c", 'exec "$@" <&- >&- 2>&-', "sh"))
+                self.wait_for_answer(program)
+                process.terminate()
+                self.assertEqual(process.wait(10.0), 0)
+
+    def wait_for_answer(self, program: Program) -> None:
+        """Wait until a program that writes no log answers."""
+        ready = encoded_request("GET", "/ring", "control")
+        give_up_at = time.monotonic() + START_TIMEOUT_S
+        while asyncio.run(http_call(program.control_address, ready, 1.0)) is None:
+            self.assertLess(time.monotonic(), give_up_at)
+            time.sleep(0.05)
+
+    def test_a_sigint_is_taken_as_a_sigterm_and_repeated_signals_change_nothing(self) -> None:
+        for module in PROGRAMS:
+            with self.subTest(module):
+                program = self.create(module)
+                process = program.start()
+                program.wait_for_line("started")
+                give_up_at = time.monotonic() + 10.0
+                while process.poll() is None and time.monotonic() < give_up_at:
+                    process.send_signal(signal.SIGINT)
+                    process.send_signal(signal.SIGTERM)
+                    time.sleep(SIGHUP_INTERVAL_S)
+                self.assertEqual(process.wait(5.0), 0, program.log())
+                self.assertIn("stopped", program.log().splitlines()[-1])
+
+    def test_too_few_descriptors_are_the_reason_in_the_last_line(self) -> None:
+        for module in PROGRAMS:
+            with self.subTest(module):
+                program = self.create(module)
+                process = program.start(("sh", "-c", 'ulimit -n 8; exec "$@"', "sh"))
+                self.assertEqual(process.wait(10.0), 2)
+                self.assertIn("Too many open files", program.log().splitlines()[-1])
+
 
 class Shutdown(unittest.TestCase):
     def test_a_stopped_control_plane_node_dials_no_peer(self) -> None:
