Test of a link's port: one that no other program's connection has

Traced with the kernel's table: in 15 of 40 dials the port was also that of another program's connection to another address, in TIME_WAIT, which keeps a listener away whatever the link does. The test now dials until its port is its own; what it asks is the same.

--- a/tests/mesh/test_start_and_end.py
+++ b/tests/mesh/test_start_and_end.py
@@ -69,6 +69,7 @@
 NO_SETTINGS_EXIT_STATUS = 2  # of both programs without a settings file
 SIGHUP_INTERVAL_S = 0.001
 HELD_S = 0.5
+MAX_SHARED_PORTS = 200  # ports that others use as well, before a test gives up
 IGNORING_SIGHUP = ("sh", "-c", "trap '' HUP; exec \"$@\"", "sh")
 
 
@@ -233,9 +234,14 @@
         handler = mock.Mock()
         loop = asyncio.get_running_loop()
         server = await loop.create_server(lambda: Link(handler), HOST, 0)
-        link = await dial(f"{HOST}:{server.sockets[0].getsockname()[1]}", lambda: Link(handler))
-        assert link is not None and link._transport is not None
-        local_address = link._transport.get_extra_info("sockname")
+        address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+        for _ in range(MAX_SHARED_PORTS):
+            link = await dial(address, lambda: Link(handler))
+            assert link is not None and link._transport is not None
+            local_address = link._transport.get_extra_info("sockname")
+            if count_connections_from(local_address) == 1:
+                break
+            link.abort()  # another program's connection has the same port, and may keep it from listeners
         while_open = await loop.create_server(asyncio.Protocol, *local_address)
         while_open.close()
         link.close()
@@ -245,6 +251,13 @@
         server.close()
 
 
+def count_connections_from(address: tuple[str, int]) -> int:
+    """Connections of this machine with this local address, open or lately closed, from the kernel's table."""
+    local = f"{int.from_bytes(socket.inet_aton(address[0]), sys.byteorder):08X}:{address[1]:04X}"
+    rows = Path("/proc/net/tcp").read_text().splitlines()[1:]
+    return sum(row.split()[1] == local for row in rows)
+
+
 class Disk(unittest.TestCase):
     def test_a_disk_is_opened_by_one_process_at_a_time(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
