--- a/tests/mesh/test_start_and_end.py
+++ b/tests/mesh/test_start_and_end.py
@@ -236,9 +236,10 @@
         server = await loop.create_server(lambda: Link(handler), HOST, 0)
         address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
         for _ in range(MAX_SHARED_PORTS):
-            link = await dial(address, lambda: Link(handler))
-            assert link is not None and link._transport is not None
-            local_address = link._transport.get_extra_info("sockname")
+            dialled = await dial(address, lambda: Link(handler))
+            assert dialled is not None and dialled._transport is not None
+            link = dialled
+            local_address = dialled._transport.get_extra_info("sockname")
             if count_connections_from(local_address) == 1:
                 break
             link.abort()  # another program's connection has the same port, and may keep it from listeners
