The large response to a withdrawn call is not kept

Cause, by the code and a test: an unsafe call that its origin has withdrawn runs to its end; its large response was announced and kept until the link closed, and nobody asked for it, so each took a part of the budget. It is released now, as is an answer whose client connection is gone. The new test fails without the change.

--- a/leadrudder/data_plane/incoming_calls.py
+++ b/leadrudder/data_plane/incoming_calls.py
@@ -108,12 +108,14 @@
             upload = open_calls.uploads[number] = receive_body(link, number, forward_request.body_bytes)
 
         def deliver(response: ForwardResponse, large_body: LargeBody | None = None) -> None:
-            withdrawals.pop(number, None)
+            is_awaited = withdrawals.pop(number, None) is not None
             open_calls.uploads.pop(number, None)
             if not withdrawals and not self._discovery.has_subscriber(link):
                 link.ping_interval_s = IDLE_ACCEPTOR_PING_INTERVAL_S
             response.number = number
-            if large_body is not None:
+            if large_body is not None and not is_awaited:
+                large_body.release()  # the origin has withdrawn the call and asks for nothing more
+            elif large_body is not None:
                 self._announce_body(link, open_calls, forward_request, response, large_body)
             link.send(Frame(delivery=response))
 
--- a/leadrudder/data_plane/outbound.py
+++ b/leadrudder/data_plane/outbound.py
@@ -178,6 +178,8 @@
         if slot.close:
             self._input_ended = True
         slot.rendered_answer = render_answer(slot.close)
+        if self._transport is None and slot.rendered_answer.large_body is not None:
+            slot.rendered_answer.large_body.release()
         self._write_ready_answers()
 
     def _write_ready_answers(self) -> None:
--- a/tests/mesh/test_memory_limit.py
+++ b/tests/mesh/test_memory_limit.py
@@ -234,6 +234,16 @@
         calls.on_down(self.link)
         self.assertEqual(self.memory.used_bytes, 0)
 
+    async def test_the_response_to_a_withdrawn_call_that_ran_to_its_end_is_not_kept(self) -> None:
+        inbound = mock.Mock()
+        calls = IncomingCalls(inbound, mock.Mock(), LoopLag(lambda: 0.0))
+        calls.on_up(self.link)
+        calls.on_frame(self.link, Frame(waybill=ForwardRequest(number=7, accepts_parts=True)))
+        deliver = inbound.handle.call_args.args[1]
+        calls.on_frame(self.link, Frame(withdrawal={"number": 7}))
+        deliver(ForwardResponse(ran=Executed.YES, status=200), self.body)
+        self.assertEqual(self.memory.used_bytes, 0)
+
     async def test_a_released_body_breaks_its_stream_off(self) -> None:
         frames: list[Frame] = []
         sender = send_body(cast(Link, FakeLink(frames.append)), 1, self.body)
