A message that is received holds its bytes, not an object for each line and chunk

Cause: each header line became two objects, a pair, a slot and an entry of a dict, and each chunk of a small body an object; a trailer line that does not end was kept by the parser without a bound. Change: the first 32 header fields are objects, further ones are packed until the message is complete; parts of bodies are gathered; what the parser holds of an unfinished line is bounded by the head's limit; the single node keeps only the header fields that it reads. The reader tells the memory that a message takes.

--- a/bench/misbehaving.py
+++ b/bench/misbehaving.py
@@ -155,36 +155,35 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _member(self, number: int) -> None:
-        counted = False
-        while True:
-            try:
-                reader, writer = await asyncio.open_connection(*self.address)
-            except OSError:
-                reader = writer = None
-            try:
-                if writer is not None:
-                    await self._send(writer, number)
-                if not counted:
-                    counted = True
-                    self._count_sent()
-                if reader is not None:
-                    with suppress(OSError):
-                        while await reader.read(PIECE_BYTES):
-                            pass
-            finally:
-                if writer is not None:
-                    writer.transport.abort()
-            if not self.comes_again:
-                return
+        is_first = True
+        while is_first or self.comes_again:
+            await self._visit(number, is_first)
+            is_first = False
             await asyncio.sleep(RECONNECT_DELAY_S)
 
+    async def _visit(self, number: int, is_first: bool) -> None:
+        """Connect, send the payload, and stay until the connection is closed."""
+        try:
+            reader, writer = await asyncio.open_connection(*self.address)
+        except OSError:
+            self._count_sent(is_first)
+            return
+        try:
+            await self._send(writer, number)
+            self._count_sent(is_first)
+            with suppress(OSError):
+                while await reader.read(PIECE_BYTES):
+                    pass
+        finally:
+            writer.transport.abort()
+
     async def _send(self, writer: asyncio.StreamWriter, number: int) -> None:
         with suppress(OSError):
             for piece in self.payload(number):
                 writer.write(piece)
                 await writer.drain()
 
-    def _count_sent(self) -> None:
-        self._sent += 1
+    def _count_sent(self, is_first: bool) -> None:
+        self._sent += is_first
         if self._sent == self.size:
             self._all_sent.set()
--- a/leadrudder/data_plane/outbound.py
+++ b/leadrudder/data_plane/outbound.py
@@ -112,8 +112,8 @@
             self._reader.feed(data)
         except HttpMessageError as error:
             self._reject(error.status, str(error), RETRY_AFTER_HEADER if error.status == 503 else b"")
-        inline_bytes = 0 if self._input_ended else self._reader.inline_bytes
-        if not self._outbound.hold_input(self, inline_bytes):
+        held_bytes = 0 if self._input_ended else self._reader.held_bytes
+        if not self._outbound.hold_input(self, held_bytes):
             self._reject(503, "no memory for the body now", RETRY_AFTER_HEADER)
 
     def _reject(self, status: int, text: str, fields: bytes = b"") -> None:
--- a/leadrudder/node/http.py
+++ b/leadrudder/node/http.py
@@ -28,6 +28,27 @@
 NOT_RUN_HEADER = b"x-not-run"
 LOAD_HEADER = b"x-load"
 CONTENT_TYPE_HEADER = b"content-type"
+CONTENT_LENGTH_HEADER = b"content-length"
+TRANSFER_ENCODING_HEADER = b"transfer-encoding"
+
+# All others are dropped as they are read.
+KEPT_HEADERS = frozenset(
+    (
+        REQUEST_ID_HEADER,
+        CLASS_HEADER,
+        TENANT_HEADER,
+        DEADLINE_HEADER,
+        RETRY_HEADER,
+        COST_HINT_HEADER,
+        IDEMPOTENCY_KEY_HEADER,
+        NOT_RUN_HEADER,
+        LOAD_HEADER,
+        CONTENT_TYPE_HEADER,
+        CONTENT_LENGTH_HEADER,
+        TRANSFER_ENCODING_HEADER,
+    )
+)
+MESSAGE_OVERHEAD_BYTES = 2048  # memory of the objects of a message that is being received
 
 _REASON_PHRASES = {
     200: b"OK",
@@ -52,7 +73,7 @@
 
 @dataclass(slots=True)
 class HttpMessage:
-    """A complete request or response."""
+    """A complete request or response.  headers: those of KEPT_HEADERS, names in lower case."""
 
     target: bytes = b""  # of a request
     method: bytes = b""
@@ -96,7 +117,7 @@
         self._head_size = 0
         self._in_body = False
         self._message: HttpMessage | None = None
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
         self._stopped = False
         self.has_surplus = False  # input has arrived after the last wanted message
@@ -106,6 +127,13 @@
         """Whether a message has begun and is not complete yet."""
         return self._message is not None
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the message that is being received; 0 between messages."""
+        if self._message is None:
+            return 0
+        return MESSAGE_OVERHEAD_BYTES + self._head_size + len(self._body)
+
     def feed(self, data: bytes) -> None:
         """Parse input; raises HttpMessageError if it cannot be part of an accepted message."""
         if not self._in_body:
@@ -137,7 +165,7 @@
         if self._stopped:
             raise _StopParsing
         self._message = HttpMessage()
-        self._body.clear()
+        self._body = bytearray()
         self._size = 0
 
     def on_url(self, data: bytes) -> None:
@@ -152,6 +180,8 @@
         if self._in_body:
             return  # a trailer; only header fields decide how a message is handled
         name = name.lower()
+        if name not in KEPT_HEADERS:
+            return
         if name in self._message.headers:
             self._message.repeated_headers.add(name)
         self._message.headers[name] = value
@@ -176,8 +206,8 @@
         The parser itself rejects invalid numbers, and both headers together.  A response that ends with the
         connection is not accepted, because a truncated one looks the same.
         """
-        length = message.headers.get(b"content-length")
-        transfer_encoding = message.headers.get(b"transfer-encoding")
+        length = message.headers.get(CONTENT_LENGTH_HEADER)
+        transfer_encoding = message.headers.get(TRANSFER_ENCODING_HEADER)
         if transfer_encoding is not None:
             if length is not None or transfer_encoding.lower() != b"chunked":
                 self._fail(400, "the length is told in no way that is read here")
@@ -191,15 +221,15 @@
         self._size += len(data)
         if self._size > MAX_BODY_BYTES:
             self._fail(413, "the body is too large")
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         message = self._message
         if message is None or self._failure is not None:
             return
         self._message, self._in_body = None, False
-        message.body = b"".join(self._body)
-        self._body.clear()
+        message.body = bytes(self._body)
+        self._body = bytearray()
         message.keep_alive = self._parser.should_keep_alive()
         if (
             not 100 <= message.status < 200
@@ -215,7 +245,7 @@
 
     def _fail(self, status: int, text: str) -> NoReturn:
         self._failure = HttpMessageError(status, text)
-        self._body.clear()
+        self._body = bytearray()
         raise _StopParsing
 
 
--- a/leadrudder/transport/http.py
+++ b/leadrudder/transport/http.py
@@ -13,13 +13,24 @@
 
 import httptools
 
-from leadrudder.node.http import HttpMessage, HttpMessageError, HttpParser
+from leadrudder.node.http import (
+    CONTENT_LENGTH_HEADER,
+    MESSAGE_OVERHEAD_BYTES,
+    TRANSFER_ENCODING_HEADER,
+    HttpMessage,
+    HttpMessageError,
+    HttpParser,
+)
 from leadrudder.transport.caller import Caller
 from leadrudder.transport.large_body import INLINE_BODY_BYTES, SEGMENT_BYTES, LargeBody
 from leadrudder.transport.memory_budget import MemoryBudget
 
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_OPEN_FIELDS = 32  # header fields that a message holds as objects while it is received
+OPEN_FIELD_BYTES = 320  # memory of the objects of such a field, besides its text
+FRAMING_HEADERS = frozenset((CONTENT_LENGTH_HEADER, TRANSFER_ENCODING_HEADER))
+GATHERED_BYTES = 16 * 1024  # small parts of a large body are gathered to this size
 JSON_MEMORY_FACTOR = 12  # memory for the objects of a JSON document, by its size
 RETRY_AFTER_HEADER = b"Retry-After: 0.2\r\n"
 PLAIN_TEXT = b"Content-Type: text/plain\r\n"
@@ -45,16 +56,44 @@
 class BufferedHttpMessage(HttpMessage):
     """A message with all its header fields, in their original order and spelling.
 
+    fields: complete once the message is; headers: likewise, names in lower case.
     large_body: the body if it is larger than INLINE_BODY_BYTES and has been read within a budget.
     """
 
     fields: list[tuple[bytes, bytes]] = field(default_factory=list)
     large_body: LargeBody | None = None
+    packed_fields: bytearray = field(default_factory=bytearray)  # lines of those beyond MAX_OPEN_FIELDS
 
     @property
     def body_bytes(self) -> int:
         return len(self.body) if self.large_body is None else self.large_body.size
 
+    def add_field(self, name: bytes, value: bytes) -> None:
+        """Add a header field; the value holds no line feed."""
+        lower_name = name.lower()
+        if len(self.fields) < MAX_OPEN_FIELDS:
+            self.fields.append((name, value))
+            self._add_header(lower_name, value)
+            return
+        self.packed_fields += b"%s:%s\n" % (name, value)
+        if lower_name in FRAMING_HEADERS:
+            self._add_header(lower_name, value)
+
+    def unpack_fields(self) -> None:
+        """Complete fields and headers."""
+        for line in bytes(self.packed_fields).split(b"\n")[:-1]:
+            name, _, value = line.partition(b":")
+            self.fields.append((name, value))
+            lower_name = name.lower()
+            if lower_name not in FRAMING_HEADERS:
+                self._add_header(lower_name, value)
+        self.packed_fields = bytearray()
+
+    def _add_header(self, lower_name: bytes, value: bytes) -> None:
+        if lower_name in self.headers:
+            self.repeated_headers.add(lower_name)
+        self.headers[lower_name] = value
+
 
 class HttpReader(HttpParser):
     """Reads messages with all their header fields.
@@ -66,11 +105,12 @@
 
     __slots__ = (
         "_budget",
-        "_heads",
         "_large_body",
         "_max_body_bytes",
         "_max_head_bytes",
         "_refuses_without_memory",
+        "_silent_bytes",
+        "callbacks",
         "missing_memory",
         "partial",
     )
@@ -92,17 +132,33 @@
         self._max_head_bytes, self._max_body_bytes = max_head_bytes, max_body_bytes
         self._head_left = max_head_bytes
         self.partial = False  # some bytes of an incomplete message have arrived
+        self.callbacks = 0  # of the parser so far: header fields and parts of bodies
+        self._silent_bytes = 0  # parsed since the last callback: the parser may hold them
 
     def feed(self, data: bytes) -> None:
         self.partial = True
+        callbacks_before = self.callbacks
         super().feed(data)
         if self._message is None:
             self.partial = False
+        self._silent_bytes = 0 if self.callbacks != callbacks_before else self._silent_bytes + len(data)
+        if self._silent_bytes > self._max_head_bytes and self.partial:
+            raise HttpMessageError(431, "a line is too long")
 
     @property
-    def inline_bytes(self) -> int:
-        """Bytes received so far of the current body, if that is no large one; 0 between messages."""
-        return self._size if self._message is not None and self._large_body is None else 0
+    def held_bytes(self) -> int:
+        """Memory of the message that is being received, but for that of a large body; 0 between messages."""
+        message = cast(BufferedHttpMessage | None, self._message)
+        if message is None:
+            return self._silent_bytes if self.partial else 0
+        return (
+            MESSAGE_OVERHEAD_BYTES
+            + OPEN_FIELD_BYTES * len(message.fields)
+            + 2 * self._head_size
+            + len(message.packed_fields)
+            + self._silent_bytes
+            + len(self._body)
+        )
 
     def abandon(self) -> None:
         """The message that is being read is not wanted any more."""
@@ -123,22 +179,32 @@
         self._message = BufferedHttpMessage()
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self.callbacks += 1
         message = cast(BufferedHttpMessage | None, self._message)
-        if message is not None and not self._in_body:
-            message.fields.append((name, value))
-        super().on_header(name, value)
+        if message is None:
+            return
+        self._measure(len(name) + len(value))
+        if self._in_body:
+            return  # a trailer; only header fields decide how a message is handled
+        if b"\n" in value:
+            self._fail(400, "a line feed in a header field")
+        message.add_field(name, value)
 
     def on_message_complete(self) -> None:
-        if self._message is not None and self._failure is None:
-            cast(BufferedHttpMessage, self._message).large_body, self._large_body = self._large_body, None
+        message = cast(BufferedHttpMessage | None, self._message)
+        if message is not None and self._failure is None:
+            if self._large_body is not None and self._body:
+                self._flush_gathered()
+            message.unpack_fields()
+            message.large_body, self._large_body = self._large_body, None
             self.missing_memory = 0
         super().on_message_complete()
         if self._message is None:
             self._head_left = self._max_head_bytes
 
     def _check_length(self, message: HttpMessage) -> None:
-        length = message.headers.get(b"content-length")
-        coding = message.headers.get(b"transfer-encoding")
+        length = message.headers.get(CONTENT_LENGTH_HEADER)
+        coding = message.headers.get(TRANSFER_ENCODING_HEADER)
         if coding is not None:
             if length is not None or coding.lower() != b"chunked":
                 self._fail(400, "the length is told in no way that is read here")
@@ -158,21 +224,34 @@
         return status >= 200 and status not in (204, 304)
 
     def on_body(self, part: bytes) -> None:
+        self.callbacks += 1
         self._size += len(part)
         if self._size > self._max_body_bytes:
             self._fail(413, "the body is too large")
-        if self._budget is not None and self._large_body is None and self._size > INLINE_BODY_BYTES:
+        if self._large_body is None and self._budget is not None and self._size > INLINE_BODY_BYTES:
             self._large_body = LargeBody(self._budget)
-            for earlier in self._body:
-                self._large_body.append(earlier)
-            self._body.clear()
         if self._large_body is None:
-            self._body.append(part)
-            return
+            self._body += part
+        elif len(part) >= GATHERED_BYTES and not self._body:
+            self._append_to_large_body(part)
+        else:
+            self._body += part
+            if len(self._body) >= GATHERED_BYTES:
+                self._flush_gathered()
+
+    def _flush_gathered(self) -> None:
+        """Move what has been gathered of small parts into the large body."""
+        gathered, self._body = self._body, bytearray()
+        self._append_to_large_body(gathered)
+
+    def _append_to_large_body(self, data: bytes | bytearray) -> None:
+        body = self._large_body
+        assert body is not None
         # Of a body without a told length a whole segment at a time is reserved.
-        if self._size > self._large_body.reserved_bytes and not self.missing_memory:
-            self._reserve(-(-self._size // SEGMENT_BYTES) * SEGMENT_BYTES)
-        self._large_body.append(part)
+        size = body.size + len(data)
+        if size > body.reserved_bytes and not self.missing_memory:
+            self._reserve(-(-size // SEGMENT_BYTES) * SEGMENT_BYTES)
+        body.append(data)
 
     def _reserve(self, size: int) -> None:
         assert self._large_body is not None
--- a/leadrudder/transport/large_body.py
+++ b/leadrudder/transport/large_body.py
@@ -78,7 +78,7 @@
 
     # ------------------------------------------------------------ content
 
-    def append(self, data: bytes) -> None:
+    def append(self, data: bytes | bytearray) -> None:
         """Add bytes at the end; raises BodyReleasedError."""
         if self.released:
             raise BodyReleasedError
