Memory for large bodies is taken as they come, and one that does not come makes room

What callers saw: six open bodies of 20 MB, one byte short, shut out small requests for 14 s. Cause: a declared length reserved at once what may never come, until the timeout for idle connections, and small requests shared that budget; one read of tiny chunks also kept the event loop busy without a bound. Change: memory is reserved as a body arrives; where there is none left, the body without progress for longest (a second or more) gets 503; a connection has a share; small requests have a budget of their own, counted with their head and objects. The API's requests likewise, and a slow sender does not put off their timeout any more. client_connection.py and api_server.py are split off from outbound.py and http.py; these faults meet in their lines, hence one commit.

--- a/leadrudder/bootstrap/takeover.py
+++ b/leadrudder/bootstrap/takeover.py
@@ -14,7 +14,8 @@
 from typing import TypeVar
 
 from leadrudder.storage.store import DiskError, DiskInUseError, UnusableDiskError
-from leadrudder.transport.http import RETRY_AFTER_HEADER, ApiRequest, ApiResponse
+from leadrudder.transport.api_server import ApiRequest, ApiResponse
+from leadrudder.transport.http import RETRY_AFTER_HEADER
 
 TAKEOVER_TIMEOUT_S = (
     75.0  # longer than a grace period, and than the 60 s for which a closed connection's port is kept
--- a/leadrudder/control_plane/maintenance.py
+++ b/leadrudder/control_plane/maintenance.py
@@ -28,7 +28,8 @@
 from leadrudder.maintenance.planner import FleetState, Machine, WindowRequest, hour_of_week
 from leadrudder.maintenance.window import AWAY_STAGES, WINDOW_PREFIX, Window
 from leadrudder.protocol.mesh_pb2 import Item, Node
-from leadrudder.transport.http import RETRY_AFTER_HEADER, ApiRequest, ApiResponse
+from leadrudder.transport.api_server import ApiRequest, ApiResponse
+from leadrudder.transport.http import RETRY_AFTER_HEADER
 
 MAX_FINISHED_WINDOWS = 50  # kept after their end
 MAX_PENDING_STEPS = 64  # commits in progress
--- a/leadrudder/control_plane/operator_api.py
+++ b/leadrudder/control_plane/operator_api.py
@@ -18,7 +18,8 @@
 from leadrudder.consensus.outputs import Answer, ResultCode
 from leadrudder.control_plane.orders import LATE_RESPONSE, OrderExecutor, OrderResult
 from leadrudder.protocol.mesh_pb2 import Item
-from leadrudder.transport.http import PLAIN_TEXT, RETRY_AFTER_HEADER, ApiRequest, ApiResponse
+from leadrudder.transport.api_server import ApiRequest, ApiResponse
+from leadrudder.transport.http import PLAIN_TEXT, RETRY_AFTER_HEADER
 
 CALL_TIMEOUT_S = 0.95  # clients time out after one second and then try another node
 _JSON_FIELDS = b"Content-Type: application/json\r\n"
--- a/leadrudder/control_plane/orders.py
+++ b/leadrudder/control_plane/orders.py
@@ -16,7 +16,7 @@
 from leadrudder.consensus.outputs import Answer, ResultCode
 from leadrudder.observability.metrics import Metrics
 from leadrudder.protocol.mesh_pb2 import Item
-from leadrudder.transport.http import ApiRequest, ApiResponse
+from leadrudder.transport.api_server import ApiRequest, ApiResponse
 
 # The caller, if it still waits, sends the order again; on a new connection it is certain to be in time.
 LATE_RESPONSE = ApiResponse(
--- a/leadrudder/control_plane/program.py
+++ b/leadrudder/control_plane/program.py
@@ -33,7 +33,7 @@
 from leadrudder.protocol.mesh_pb2 import Frame, Item, Node
 from leadrudder.storage.store import DbmStore, MemoryStore, Store
 from leadrudder.storage.writer import BatchWriter, ThreadedWriter
-from leadrudder.transport.http import ApiRequest, ApiResponse, ApiServer
+from leadrudder.transport.api_server import ApiRequest, ApiResponse, ApiServer
 from leadrudder.transport.link import Link, dial
 from leadrudder.transport.memory_budget import MemoryBudget
 
@@ -160,7 +160,11 @@
         host, port = self.address.rsplit(":", 1)
         self._listener = await self._startup.listen(
             lambda: self._loop.create_server(
-                lambda: Link(self), host, int(port), family=socket.AF_INET, backlog=512
+                lambda: Link(self),
+                host,
+                int(port),
+                family=socket.AF_INET,
+                backlog=512,
             )
         )
         self._startup.finished = True
@@ -184,6 +188,7 @@
         metrics.add("session_unsent_bytes", feeds.max_unsent_bytes)
         metrics.add("api_memory_bytes", lambda: self._api_memory.used_bytes)
         metrics.add("api_memory_bytes_limit", lambda: self._api_memory.limit_bytes)
+        metrics.add("unfinished_requests_shed_total", self._unfinished_requests_shed)
         metrics.add("api_body_refusals_total", lambda: self._api_server.request_memory.refusals)
         metrics.add("sessions_unsent_bytes", feeds.total_unsent_bytes)
         metrics.add("process_peak_memory_bytes", peak_memory_bytes)
@@ -193,6 +198,9 @@
         metrics.add_labelled("invariant_violations_total", "name", lambda: self.invariants.violations)
         return metrics
 
+    def _unfinished_requests_shed(self) -> int:
+        return self._api_server.received_bodies.shed
+
     async def _dispatch(self, request: ApiRequest) -> ApiResponse:
         """Handle a request of an operator, or say what the start waits for."""
         if self._operator_api is None or not self._startup.finished:
--- a/leadrudder/data_plane/program.py
+++ b/leadrudder/data_plane/program.py
@@ -41,8 +41,8 @@
 from leadrudder.protocol import mesh_pb2 as wire
 from leadrudder.protocol.mesh_pb2 import ForwardRequest, ForwardResponse
 from leadrudder.protocol.outcome import Executed
+from leadrudder.transport.api_server import ApiRequest, ApiResponse, ApiServer
 from leadrudder.transport.body_stream import BodyReceiver, BodySender
-from leadrudder.transport.http import ApiRequest, ApiResponse, ApiServer
 from leadrudder.transport.large_body import LargeBody
 from leadrudder.transport.link import Link
 from leadrudder.transport.memory_budget import MemoryBudget
@@ -50,8 +50,9 @@
 TICK_INTERVAL_S = 0.25
 MAX_MISSED_HEARTBEATS = 3.5  # heartbeats that a server may miss before it counts as crashed
 REFUSAL_LOG_INTERVAL_S = 1.0
-# Parts of the memory: for all bodies that are held, and for those of requests among them.
-HELD_MEMORY_FRACTION, REQUEST_MEMORY_FRACTION = 0.55, 0.4
+# Parts of the memory: for all requests and answers that are held; among them large bodies of requests, and
+# small requests; and for what has not come in whole yet.
+HELD_MEMORY_FRACTION, REQUEST_MEMORY_FRACTION, SMALL_REQUEST_MEMORY_FRACTION = 0.55, 0.4, 0.1
 API_MEMORY_FRACTION = 0.02  # for the local API's requests and responses
 MAX_OPEN_REQUESTS = 2000
 FINAL_SWEEP_INTERVAL_S = 0.05  # while the last requests are refused during a shutdown
@@ -80,6 +81,7 @@
         self._incarnation = int(wall() * 1e6)
         self._report_number = 0
         self._lag = LoopLag(platform.monotonic)
+        memory_bytes = settings.memory_limit_mb * 1e6
         self.admission = AdmissionController(settings.bounds)
         self.state = MeshState(
             settings,
@@ -101,7 +103,6 @@
         self._refusals: Counter[str] = Counter()  # calls without a response since the last log line
         self._refusals_logged_at = 0.0
         self._logged_body_refusals = 0
-        memory_bytes = settings.memory_limit_mb * 1e6
         self._memory = MemoryBudget(HELD_MEMORY_FRACTION * memory_bytes)
         self._request_memory = MemoryBudget(REQUEST_MEMORY_FRACTION * memory_bytes, self._memory)
         self._local_server = LocalServer(
@@ -141,6 +142,7 @@
             self._request_memory,
             self._lag.seconds,
             self._memory,
+            MemoryBudget(SMALL_REQUEST_MEMORY_FRACTION * memory_bytes, self._memory),
         )
         self._startup = Startup(self.log_buffer.log_info)
         self._server_api = ServerApi(
@@ -209,6 +211,7 @@
         metrics.add("held_body_bytes", lambda: self._memory.used_bytes)
         metrics.add("held_body_bytes_limit", lambda: self._memory.limit_bytes)
         metrics.add("body_refusals_total", lambda: self._request_memory.refusals)
+        metrics.add("unfinished_requests_shed_total", self._unfinished_requests_shed)
         metrics.add("process_peak_memory_bytes", peak_memory_bytes)
         metrics.add("loop_lag_seconds", self._lag.seconds)
         metrics.add("loop_lag_highest_seconds", lambda: self._lag.highest_s)
@@ -216,6 +219,9 @@
         metrics.add_labelled("invariant_violations_total", "name", lambda: self.invariants.violations)
         return metrics
 
+    def _unfinished_requests_shed(self) -> int:
+        return self._outbound.received_bodies.shed
+
     def ready(self) -> bool:
         """Whether clients may connect: a configuration is in force, and the process is not shutting down."""
         return self._shutdown is None and bool(self.state.routing.routes) and self._session.synced
--- a/leadrudder/data_plane/server_api.py
+++ b/leadrudder/data_plane/server_api.py
@@ -10,7 +10,8 @@
 from marshmallow import EXCLUDE, Schema, ValidationError, fields
 
 from leadrudder.bootstrap.settings import DurationField
-from leadrudder.transport.http import PLAIN_TEXT, ApiRequest, ApiResponse
+from leadrudder.transport.api_server import ApiRequest, ApiResponse
+from leadrudder.transport.http import PLAIN_TEXT
 
 MAX_HEARTBEAT_BYTES = 4096
 _JSON_CONTENT_TYPE = b"Content-Type: application/json\r\n"
--- a/leadrudder/data_plane/server_connections.py
+++ b/leadrudder/data_plane/server_connections.py
@@ -92,7 +92,6 @@
             requests=False,
             max_body_bytes=int(min(MAX_ANSWER_BYTES, self._answer_memory.limit_bytes)),
             budget=self._answer_memory,
-            refuses_without_memory=False,
         )
         return self._reader
 
--- a/leadrudder/transport/http.py
+++ b/leadrudder/transport/http.py
@@ -4,12 +4,9 @@
 
 from __future__ import annotations
 
-import asyncio
-import socket
-import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import cast
+from typing import NoReturn, cast
 
 import httptools
 
@@ -21,8 +18,8 @@
     HttpMessageError,
     HttpParser,
 )
-from leadrudder.transport.caller import Caller
-from leadrudder.transport.large_body import INLINE_BODY_BYTES, SEGMENT_BYTES, LargeBody
+from leadrudder.transport.input_memory import InputOwner, ReceivedBodies
+from leadrudder.transport.large_body import INLINE_BODY_BYTES, LargeBody
 from leadrudder.transport.memory_budget import MemoryBudget
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -31,10 +28,8 @@
 OPEN_FIELD_BYTES = 320  # memory of the objects of such a field, besides its text
 FRAMING_HEADERS = frozenset((CONTENT_LENGTH_HEADER, TRANSFER_ENCODING_HEADER))
 GATHERED_BYTES = 16 * 1024  # small parts of a large body are gathered to this size
-JSON_MEMORY_FACTOR = 12  # memory for the objects of a JSON document, by its size
 RETRY_AFTER_HEADER = b"Retry-After: 0.2\r\n"
 PLAIN_TEXT = b"Content-Type: text/plain\r\n"
-API_TIMEOUT_S = 10.0  # to receive a request completely, and for the caller to read its response
 
 REASON_PHRASES = {
     200: b"OK",
@@ -98,17 +93,21 @@
 class HttpReader(HttpParser):
     """Reads messages with all their header fields.
 
-    budget: for large bodies; without one every body is read into its message.  refuses_without_memory:
-    whether a body for which there is no room is an error with status 503.  If not, it is read on, and
+    budget: for large bodies; without one every body is read into its message.
+
+    bodies, owner: for a reader that refuses a body for which there is no room with status 503: the bodies
+    of all connections, and the connection of this reader. Without them such a body is read on, and
     missing_memory tells so, until reserve_missing_memory succeeds.
     """
 
     __slots__ = (
+        "_bodies",
+        "_body_length",
         "_budget",
         "_large_body",
         "_max_body_bytes",
         "_max_head_bytes",
-        "_refuses_without_memory",
+        "_owner",
         "_silent_bytes",
         "callbacks",
         "missing_memory",
@@ -123,10 +122,12 @@
         max_head_bytes: int = MAX_HEAD_BYTES,
         max_body_bytes: int = MAX_BODY_BYTES,
         budget: MemoryBudget | None = None,
-        refuses_without_memory: bool = True,
+        bodies: ReceivedBodies | None = None,
+        owner: InputOwner | None = None,
     ) -> None:
         super().__init__(on_message, requests=requests)
-        self._budget, self._refuses_without_memory = budget, refuses_without_memory
+        self._budget, self._bodies, self._owner = budget, bodies, owner
+        self._body_length = 0  # of the current message, if that is told
         self._large_body: LargeBody | None = None
         self.missing_memory = 0  # bytes to reserve for the body that is being read, before more is read
         self._max_head_bytes, self._max_body_bytes = max_head_bytes, max_body_bytes
@@ -160,13 +161,23 @@
             + len(self._body)
         )
 
+    @property
+    def known_body_left(self) -> int:
+        """Bytes that the current body still lacks, if its length was told; else 0."""
+        return max(0, self._body_length - self._size) if self._in_body else 0
+
     def abandon(self) -> None:
         """The message that is being read is not wanted any more."""
         if self._large_body is not None:
             self._large_body.release()
-            self._large_body = None
+            self._end_large_body()
         self.missing_memory = 0
 
+    def _end_large_body(self) -> None:
+        self._large_body = None
+        if self._bodies is not None and self._owner is not None:
+            self._bodies.ended(self._owner)
+
     def reserve_missing_memory(self, on_reserved: Callable[[], None]) -> None:
         """Wait for the memory that the current body needs."""
         if self._large_body is not None:
@@ -176,6 +187,7 @@
     def on_message_begin(self) -> None:
         super().on_message_begin()
         self.abandon()
+        self._body_length = 0
         self._message = BufferedHttpMessage()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -196,7 +208,8 @@
             if self._large_body is not None and self._body:
                 self._flush_gathered()
             message.unpack_fields()
-            message.large_body, self._large_body = self._large_body, None
+            message.large_body = self._large_body
+            self._end_large_body()
             self.missing_memory = 0
         super().on_message_complete()
         if self._message is None:
@@ -211,9 +224,9 @@
         elif length is not None:
             if int(length) > self._max_body_bytes:
                 self._fail(413, "the body is too large")
-            if self._budget is not None and int(length) > INLINE_BODY_BYTES:
-                self._large_body = LargeBody(self._budget, int(length))
-                self._reserve(int(length))
+            self._body_length = int(length)
+            if self._budget is not None and self._body_length > INLINE_BODY_BYTES:
+                self._begin_large_body(self._budget)
         elif isinstance(self._parser, httptools.HttpResponseParser) and self._has_body():
             self._fail(400, "the length is not told")
 
@@ -244,23 +257,40 @@
         gathered, self._body = self._body, bytearray()
         self._append_to_large_body(gathered)
 
+    def _begin_large_body(self, budget: MemoryBudget) -> None:
+        """Begin a body of a told length."""
+        self._large_body = LargeBody(budget, self._body_length)
+        if self._bodies is None:
+            self._reserve(self._body_length)
+        elif self._owner is None or not self._bodies.has_room(self._owner, budget, self._body_length):
+            self._refuse_body()
+        else:
+            self._reserve(self._large_body.reservation_for(1))
+
     def _append_to_large_body(self, data: bytes | bytearray) -> None:
         body = self._large_body
         assert body is not None
-        # Of a body without a told length a whole segment at a time is reserved.
         size = body.size + len(data)
         if size > body.reserved_bytes and not self.missing_memory:
-            self._reserve(-(-size // SEGMENT_BYTES) * SEGMENT_BYTES)
+            self._reserve(body.reservation_for(size))
         body.append(data)
+        if self._bodies is not None and self._owner is not None:
+            self._bodies.received(self._owner, body.size)
 
     def _reserve(self, size: int) -> None:
-        assert self._large_body is not None
-        if self._large_body.reserve(size):
-            return
-        if self._refuses_without_memory:
-            self.abandon()
-            self._fail(503, "no memory for the body now")
-        self.missing_memory = size
+        body = self._large_body
+        assert body is not None
+        if self._bodies is None or self._owner is None:
+            if not body.reserve(size):
+                self.missing_memory = size
+        elif self._bodies.reserve(self._owner, body, size):
+            self._bodies.received(self._owner, body.size)
+        else:
+            self._refuse_body()
+
+    def _refuse_body(self) -> NoReturn:
+        self.abandon()
+        self._fail(503, "no memory for the body now")
 
     def _measure(self, size: int) -> None:
         self._head_size += size
@@ -282,186 +312,3 @@
 def render_response(status: int, fields: bytes, body: bytes, *, close: bool = False) -> bytes:
     """Render a response; fields are complete header lines without Content-Length."""
     return render_response_head(status, fields, len(body), close=close) + body
-
-
-@dataclass(frozen=True, slots=True)
-class ApiRequest:
-    """An API request of an operator, a server or the platform."""
-
-    method: str
-    segments: tuple[str, ...]
-    body: bytes
-    caller: Caller = field(default_factory=Caller)
-
-
-@dataclass(frozen=True, slots=True)
-class ApiResponse:
-    """The response to an API request.  close: the connection is closed after it."""
-
-    status: int
-    body: bytes = b""
-    fields: bytes = b""
-    close: bool = False
-
-
-Dispatch = Callable[[ApiRequest], Awaitable[ApiResponse]]
-
-
-class ApiConnection(asyncio.Protocol):
-    """One API connection; its requests are served one after the other."""
-
-    def __init__(self, server: ApiServer) -> None:
-        self._server = server
-        self._reader = HttpReader(
-            self._on_message,
-            requests=True,
-            max_body_bytes=server.max_body_bytes,
-            budget=server.request_memory,
-        )
-        self._input_ended = False  # nothing more is read
-        self._unsent_bytes = 0  # of responses, as they count in the budget
-        self._transport: asyncio.Transport | None = None
-        self._queue: list[tuple[BufferedHttpMessage, Caller]] = []
-        # A caller sends its first request on an open connection, and each further one after a response.
-        self._ready_at = 0.0
-        self._task: asyncio.Task[None] | None = None
-        self._timeout: asyncio.TimerHandle | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.Transport, transport)
-        self._server.connections.add(self)
-        self._ready_at = self._server.earliest_arrival()
-        self._restart_timeout()
-
-    def _restart_timeout(self) -> None:
-        if self._timeout is not None:
-            self._timeout.cancel()
-        self._timeout = asyncio.get_running_loop().call_later(API_TIMEOUT_S, self.drop)
-
-    def data_received(self, data: bytes) -> None:
-        if self._input_ended:
-            return
-        self._restart_timeout()
-        try:
-            self._reader.feed(data)
-        except HttpMessageError as error:
-            self._reject(error)
-        if len(self._queue) > 100:
-            self.drop()
-
-    def _reject(self, error: HttpMessageError) -> None:
-        """Answer an invalid request; the caller closes, as unread input would reset the answer."""
-        self._input_ended = True
-        fields = RETRY_AFTER_HEADER if error.status == 503 else b""
-        self._write(render_response(error.status, fields, str(error).encode() + b"\n", close=True))
-        if self._transport is not None and self._transport.can_write_eof():
-            self._transport.write_eof()
-
-    def eof_received(self) -> bool:
-        return False
-
-    def pause_writing(self) -> None:
-        """The caller does not read: its response takes memory meanwhile."""
-        if self._transport is not None:
-            self._unsent_bytes = self._transport.get_write_buffer_size()
-            self._server.memory.take(self._unsent_bytes)
-
-    def resume_writing(self) -> None:
-        self._server.memory.give_back(self._unsent_bytes)
-        self._unsent_bytes = 0
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._transport = None
-        self.resume_writing()
-        self._reader.abandon()
-        self._server.connections.discard(self)
-        if self._timeout is not None:
-            self._timeout.cancel()
-
-    def drop(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
-
-    def _on_message(self, message: HttpMessage) -> None:
-        # A pipelined request may have arrived before the last response was written.
-        sent_after = min(self._ready_at, self._server.earliest_arrival())
-        caller = Caller(sent_after, self._is_connected, self._server.monotonic)
-        self._queue.append((cast(BufferedHttpMessage, message), caller))
-        if self._task is None:
-            self._task = asyncio.get_running_loop().create_task(self._serve_requests())
-
-    async def _serve_requests(self) -> None:
-        while self._queue and self._transport is not None:
-            message, caller = self._queue.pop(0)
-            path = message.target.partition(b"?")[0].decode("latin-1")
-            segments = tuple(part for part in path.split("/") if part)
-            response = await self._respond(message, segments, caller)
-            close = not message.keep_alive or response.close or self._server.closing
-            self._write(render_response(response.status, response.fields, response.body, close=close))
-            self._ready_at = self._server.monotonic()
-            self._restart_timeout()
-            if close and self._transport is not None:
-                self._transport.close()
-        self._task = None
-
-    async def _respond(
-        self, message: BufferedHttpMessage, segments: tuple[str, ...], caller: Caller
-    ) -> ApiResponse:
-        if self._server.memory.is_full() and message.method == b"GET":
-            return ApiResponse(503, b"no memory for the response now\n", RETRY_AFTER_HEADER)
-        body = message.body if message.large_body is None else message.large_body.read_all()
-        request = ApiRequest(message.method.decode("latin-1"), segments, body, caller)
-        try:
-            return await self._server.dispatch(request)
-        except Exception as error:  # an internal error must not leave the caller waiting
-            self._server.on_error(error)
-            return ApiResponse(500)
-        finally:
-            if message.large_body is not None:
-                message.large_body.release()
-
-    def _is_connected(self) -> bool:
-        return self._transport is not None and not self._transport.is_closing()
-
-    def _write(self, data: bytes) -> None:
-        if self._transport is not None:
-            self._transport.write(data)
-
-
-class ApiServer:
-    """Listens for API requests and passes each to dispatch.
-
-    monotonic: the time in seconds.  earliest_arrival: when input that is read now can have arrived first.
-    memory: for requests and unread responses; a request is counted with the memory that its JSON takes.
-    """
-
-    def __init__(
-        self,
-        dispatch: Dispatch,
-        on_error: Callable[[Exception], None],
-        monotonic: Callable[[], float] = time.monotonic,
-        earliest_arrival: Callable[[], float] = time.monotonic,
-        memory: MemoryBudget | None = None,
-    ) -> None:
-        self.memory = memory or MemoryBudget()
-        self.request_memory = MemoryBudget(self.memory.limit_bytes, self.memory, JSON_MEMORY_FACTOR)
-        self.max_body_bytes = int(min(MAX_BODY_BYTES, self.memory.limit_bytes / JSON_MEMORY_FACTOR))
-        self.dispatch, self.on_error = dispatch, on_error
-        self.monotonic, self.earliest_arrival = monotonic, earliest_arrival
-        self.connections: set[ApiConnection] = set()
-        self.closing = False
-        self._servers: list[asyncio.Server] = []
-
-    async def listen(self, address: tuple[str, int]) -> None:
-        loop = asyncio.get_running_loop()
-        create_connection = lambda: ApiConnection(self)  # noqa: E731
-        self._servers.append(
-            await loop.create_server(create_connection, *address, backlog=256, family=socket.AF_INET)
-        )
-
-    def close(self) -> None:
-        self.closing = True
-        for server in self._servers:
-            server.close()
-        for connection in list(self.connections):
-            connection.drop()
--- a/leadrudder/transport/large_body.py
+++ b/leadrudder/transport/large_body.py
@@ -45,6 +45,18 @@
             self.reserved_bytes += missing
         return True
 
+    def fits_own_limit(self, size: int) -> bool:
+        """Whether so many bytes in all are within the body's own budget, whatever its parent holds."""
+        return self._budget.fits_own_limit(size - self.reserved_bytes)
+
+    def reservation_for(self, size: int) -> int:
+        """How much to reserve for so many bytes in all, as the body grows."""
+        step = FIRST_SEGMENT_BYTES
+        while step < min(size, SEGMENT_BYTES):
+            step *= 2
+        reserved = -(-size // step) * step
+        return min(reserved, self._expected_bytes) if self._expected_bytes else reserved
+
     def reserve_later(self, size: int, on_reserved: Callable[[], None]) -> None:
         """Reserve memory for so many bytes in all as soon as there is room; then a function is called."""
         loop = asyncio.get_running_loop()
--- a/leadrudder/transport/memory_budget.py
+++ b/leadrudder/transport/memory_budget.py
@@ -45,18 +45,28 @@
             self._parent is None or self._parent.can_ever_hold(self._weight * size)
         )
 
+    def fits_own_limit(self, size: int) -> bool:
+        """Whether so many bytes more are within this budget's limit, whatever its parent holds."""
+        return self.used_bytes + self._weight * size <= self.limit_bytes
+
     def try_take(self, size: int) -> bool:
         """Reserve bytes; False if that would exceed the limit, or if others wait for bytes."""
-        if self._waiting or not self._has_room(size):
-            self.refusals += 1
+        if self._waiting or not self.has_room(size):
+            self.count_refusal()
             return False
         self.take(size)
         return True
 
-    def _has_room(self, size: int) -> bool:
-        weighed = self._weight * size
-        return self.used_bytes + weighed <= self.limit_bytes and (
-            self._parent is None or self._parent._has_room(weighed)
+    def count_refusal(self) -> None:
+        """Something was refused for lack of room."""
+        self.refusals += 1
+        if self._parent is not None:
+            self._parent.count_refusal()
+
+    def has_room(self, size: int) -> bool:
+        """Whether so many bytes could be reserved now, if nobody waits."""
+        return self.fits_own_limit(size) and (
+            self._parent is None or self._parent.has_room(self._weight * size)
         )
 
     def take(self, size: int) -> None:
@@ -70,7 +80,7 @@
         self.used_bytes -= self._weight * size
         if self._parent is not None:
             self._parent.give_back(self._weight * size)
-        while self._waiting and self._has_room(self._waiting[0].size):
+        while self._waiting and self.has_room(self._waiting[0].size):
             waiter = self._waiting.popleft()
             self.take(waiter.size)
             waiter.on_granted()
--- a/tests/mesh/test_api_server.py
+++ b/tests/mesh/test_api_server.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from leadrudder.observability.loop_lag import CHECK_INTERVAL_S, LoopLag
-from leadrudder.transport.http import ApiConnection, ApiRequest, ApiResponse, ApiServer
+from leadrudder.transport.api_server import ApiConnection, ApiRequest, ApiResponse, ApiServer
 
 ORDER = b"POST /evacuate/z HTTP/1.1\r\nContent-Length: 0\r\n\r\n"
 
--- a/tests/mesh/test_control.py
+++ b/tests/mesh/test_control.py
@@ -25,8 +25,8 @@
 from leadrudder.membership.registry import ORPHAN_GRACE_S, RECONNECT_GRACE_S, MemberRegistry
 from leadrudder.observability.metrics import Metrics
 from leadrudder.protocol.mesh_pb2 import Item, Node
+from leadrudder.transport.api_server import ApiRequest, ApiResponse
 from leadrudder.transport.caller import CALLER_TIMEOUT_S, Caller
-from leadrudder.transport.http import ApiRequest, ApiResponse
 
 FILE: dict[str, Any] = {
     "nodeName": "n",
--- a/tests/mesh/test_graceful_shutdown.py
+++ b/tests/mesh/test_graceful_shutdown.py
@@ -103,7 +103,8 @@
         loop_patch = mock.patch("asyncio.get_running_loop", return_value=self.clock)
         loop_patch.start()
         self.addCleanup(loop_patch.stop)
-        from leadrudder.data_plane.outbound import ClientConnection, OutboundProxy
+        from leadrudder.data_plane.client_connection import ClientConnection
+        from leadrudder.data_plane.outbound import OutboundProxy
 
         self.accepted: list[object] = []
         self.outbound = OutboundProxy(
--- a/tests/mesh/test_memory_limit.py
+++ b/tests/mesh/test_memory_limit.py
@@ -17,8 +17,9 @@
 from bench.bulk import BulkAnswer, BulkRequest
 from bench.peak_memory import MB, BulkFleet, large_configuration
 from leadrudder.data_plane.body_frames import receive_body, send_body
+from leadrudder.data_plane.client_connection import UNREAD_ANSWER_TIMEOUT_S, ClientConnection
 from leadrudder.data_plane.incoming_calls import IncomingCalls
-from leadrudder.data_plane.outbound import UNREAD_ANSWER_TIMEOUT_S, ClientConnection, OutboundProxy
+from leadrudder.data_plane.outbound import OutboundProxy
 from leadrudder.data_plane.peer_links import PARTS_ACCEPTED_TIMEOUT_S, PeerLink
 from leadrudder.emulation.standins import encoded_request, http_call
 from leadrudder.observability.loop_lag import LoopLag
--- a/tests/mesh/test_metrics.py
+++ b/tests/mesh/test_metrics.py
@@ -12,7 +12,7 @@
 from leadrudder.observability.metrics import Metrics
 from leadrudder.observability.traffic import AnswerClass, TrafficCounters
 from leadrudder.protocol.outcome import Executed, RequestFailure, ServerResponse
-from leadrudder.transport.http import ApiRequest
+from leadrudder.transport.api_server import ApiRequest
 
 
 class MetricsText(unittest.TestCase):
--- a/tests/mesh/test_outbound.py
+++ b/tests/mesh/test_outbound.py
@@ -8,9 +8,10 @@
 from unittest import mock
 
 from leadrudder.configuration.items import Limits, Route
+from leadrudder.data_plane.client_connection import ClientConnection
 from leadrudder.data_plane.client_patience import WINDOW_S, ClientPatience
 from leadrudder.data_plane.load_balancer import ProxiedRequest
-from leadrudder.data_plane.outbound import ClientConnection, OutboundProxy
+from leadrudder.data_plane.outbound import OutboundProxy
 from leadrudder.data_plane.server_connections import (
     LocalServerConnection,
     ServerAnswerCounts,
--- a/tests/mesh/test_start_and_end.py
+++ b/tests/mesh/test_start_and_end.py
@@ -22,7 +22,7 @@
 from leadrudder.emulation.fleet import Fleet
 from leadrudder.emulation.standins import encoded_request, http_call
 from leadrudder.storage.store import DbmStore, DiskError, DiskInUseError
-from leadrudder.transport.http import ApiRequest
+from leadrudder.transport.api_server import ApiRequest
 from leadrudder.transport.link import Link, dial
 from tests.mesh.programs import HOST, PROGRAMS, START_TIMEOUT_S, Program
 from tests.mesh.test_emulation import PLAN
