Messages that have not come in whole are counted by the memory they take, and bounded

Cause: nothing counted a head while it was read, and a small body was counted by its length, after the read. Change: what unfinished requests hold (objects, packed lines, gathered bodies, input that waits for its turn) is at most 0.06 of ramMb for clients and the local API, and for operators; beyond that the request that began first gets 503 with Retry-After, so that ordinary requests, which are whole at once, pass. A connection has at most a quarter of it.

--- a/leadrudder/control_plane/program.py
+++ b/leadrudder/control_plane/program.py
@@ -34,6 +34,7 @@
 from leadrudder.storage.store import DbmStore, MemoryStore, Store
 from leadrudder.storage.writer import BatchWriter, ThreadedWriter
 from leadrudder.transport.api_server import ApiRequest, ApiResponse, ApiServer
+from leadrudder.transport.input_memory import InputMemory
 from leadrudder.transport.link import Link, dial
 from leadrudder.transport.memory_budget import MemoryBudget
 
@@ -46,6 +47,7 @@
 MEMBERS_COMPLETE_AFTER_S = 4.0  # of contact with a majority, after which the list of members is complete
 # Parts of the memory: for operators' requests and responses, and for updates that sessions have not read.
 API_MEMORY_FRACTION, SESSION_MEMORY_FRACTION = 0.5, 0.2
+INPUT_MEMORY_FRACTION = 0.06  # for requests that have not come in whole yet
 HANDOVER_S = 0.6  # for requests in progress when this process hands over the sections it owns
 EXIT_MARGIN_S = 1.5  # before the end of the grace period, by which the process has exited in any case
 
@@ -101,6 +103,7 @@
         self._operator_api: OperatorApi | None = None
         memory_bytes = settings.memory_limit_mb * 1e6
         self._api_memory = MemoryBudget(API_MEMORY_FRACTION * memory_bytes)
+        self._input_memory = InputMemory(INPUT_MEMORY_FRACTION * memory_bytes)
         self._max_session_bytes = SESSION_MEMORY_FRACTION * memory_bytes
         self._api_server = ApiServer(
             self._dispatch,
@@ -108,6 +111,7 @@
             self._monotonic,
             self._loop_lag.earliest_arrival,
             self._api_memory,
+            self._input_memory,
         )
 
     async def start(self) -> None:
@@ -188,6 +192,8 @@
         metrics.add("session_unsent_bytes", feeds.max_unsent_bytes)
         metrics.add("api_memory_bytes", lambda: self._api_memory.used_bytes)
         metrics.add("api_memory_bytes_limit", lambda: self._api_memory.limit_bytes)
+        metrics.add("input_memory_bytes", lambda: self._input_memory.used_bytes)
+        metrics.add("input_memory_bytes_limit", lambda: self._input_memory.limit_bytes)
         metrics.add("unfinished_requests_shed_total", self._unfinished_requests_shed)
         metrics.add("api_body_refusals_total", lambda: self._api_server.request_memory.refusals)
         metrics.add("sessions_unsent_bytes", feeds.total_unsent_bytes)
@@ -199,7 +205,7 @@
         return metrics
 
     def _unfinished_requests_shed(self) -> int:
-        return self._api_server.received_bodies.shed
+        return self._input_memory.shed + self._api_server.received_bodies.shed
 
     async def _dispatch(self, request: ApiRequest) -> ApiResponse:
         """Handle a request of an operator, or say what the start waits for."""
--- a/leadrudder/data_plane/program.py
+++ b/leadrudder/data_plane/program.py
@@ -43,6 +43,7 @@
 from leadrudder.protocol.outcome import Executed
 from leadrudder.transport.api_server import ApiRequest, ApiResponse, ApiServer
 from leadrudder.transport.body_stream import BodyReceiver, BodySender
+from leadrudder.transport.input_memory import InputMemory
 from leadrudder.transport.large_body import LargeBody
 from leadrudder.transport.link import Link
 from leadrudder.transport.memory_budget import MemoryBudget
@@ -53,6 +54,7 @@
 # Parts of the memory: for all requests and answers that are held; among them large bodies of requests, and
 # small requests; and for what has not come in whole yet.
 HELD_MEMORY_FRACTION, REQUEST_MEMORY_FRACTION, SMALL_REQUEST_MEMORY_FRACTION = 0.55, 0.4, 0.1
+INPUT_MEMORY_FRACTION = 0.06  # of clients and the local API
 API_MEMORY_FRACTION = 0.02  # for the local API's requests and responses
 MAX_OPEN_REQUESTS = 2000
 FINAL_SWEEP_INTERVAL_S = 0.05  # while the last requests are refused during a shutdown
@@ -105,6 +107,7 @@
         self._logged_body_refusals = 0
         self._memory = MemoryBudget(HELD_MEMORY_FRACTION * memory_bytes)
         self._request_memory = MemoryBudget(REQUEST_MEMORY_FRACTION * memory_bytes, self._memory)
+        self._input_memory = InputMemory(INPUT_MEMORY_FRACTION * memory_bytes)
         self._local_server = LocalServer(
             settings.application_address or (settings.ip, 0),
             max_connections=100,
@@ -143,6 +146,7 @@
             self._lag.seconds,
             self._memory,
             MemoryBudget(SMALL_REQUEST_MEMORY_FRACTION * memory_bytes, self._memory),
+            self._input_memory,
         )
         self._startup = Startup(self.log_buffer.log_info)
         self._server_api = ServerApi(
@@ -152,6 +156,7 @@
             self._dispatch,
             lambda error: self.log_buffer.log_warning(f"unhandled API error: {error!r}"),
             memory=MemoryBudget(API_MEMORY_FRACTION * memory_bytes),
+            input_memory=self._input_memory,
         )
         self._session = Session(
             settings.seed_link_addresses,
@@ -211,6 +216,8 @@
         metrics.add("held_body_bytes", lambda: self._memory.used_bytes)
         metrics.add("held_body_bytes_limit", lambda: self._memory.limit_bytes)
         metrics.add("body_refusals_total", lambda: self._request_memory.refusals)
+        metrics.add("input_memory_bytes", lambda: self._input_memory.used_bytes)
+        metrics.add("input_memory_bytes_limit", lambda: self._input_memory.limit_bytes)
         metrics.add("unfinished_requests_shed_total", self._unfinished_requests_shed)
         metrics.add("process_peak_memory_bytes", peak_memory_bytes)
         metrics.add("loop_lag_seconds", self._lag.seconds)
@@ -220,7 +227,7 @@
         return metrics
 
     def _unfinished_requests_shed(self) -> int:
-        return self._outbound.received_bodies.shed
+        return self._input_memory.shed + self._outbound.received_bodies.shed
 
     def ready(self) -> bool:
         """Whether clients may connect: a configuration is in force, and the process is not shutting down."""
