Connections are limited, and the one of least use is closed for a new one

What callers saw: 400 connections on which nothing is sent took 419 descriptors of a data-plane node and 423 of a control-plane node, where the settings leave 400 for all. Cause: no listener had a limit. Change: clients have half of openFiles less 200, an API a quarter. Beyond that the oldest connection is closed on which no complete request has come, then one that is idle.

--- a/leadrudder/bootstrap/settings.py
+++ b/leadrudder/bootstrap/settings.py
@@ -16,6 +16,8 @@
 from marshmallow import EXCLUDE, Schema, ValidationError, fields
 from returns.result import Failure, Result, Success
 
+RESERVED_DESCRIPTORS = 200  # of openFiles, for files outside of the data folder
+MIN_CONNECTION_DESCRIPTORS = 64
 FILE_VARIABLE = "LEADRUDDER_NODE_FILE"
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 
@@ -149,6 +151,11 @@
     open_files: int
     tolerated_machine_losses: int  # machines with a disk that may be lost at the same time
 
+    @property
+    def connection_descriptors(self) -> int:
+        """The descriptors that are left for connections."""
+        return max(MIN_CONNECTION_DESCRIPTORS, self.open_files - RESERVED_DESCRIPTORS)
+
     @property
     def control_link_port(self) -> int:
         """The port on which control-plane nodes accept links, the same on all machines."""
--- a/leadrudder/control_plane/program.py
+++ b/leadrudder/control_plane/program.py
@@ -48,6 +48,8 @@
 # Parts of the memory: for operators' requests and responses, and for updates that sessions have not read.
 API_MEMORY_FRACTION, SESSION_MEMORY_FRACTION = 0.5, 0.2
 INPUT_MEMORY_FRACTION = 0.06  # for requests that have not come in whole yet
+# Parts of the descriptors that are left for connections: of operators and servers.
+API_CONNECTIONS_FRACTION = 0.25
 HANDOVER_S = 0.6  # for requests in progress when this process hands over the sections it owns
 EXIT_MARGIN_S = 1.5  # before the end of the grace period, by which the process has exited in any case
 
@@ -112,6 +114,7 @@
             self._loop_lag.earliest_arrival,
             self._api_memory,
             self._input_memory,
+            int(API_CONNECTIONS_FRACTION * settings.connection_descriptors),
         )
 
     async def start(self) -> None:
@@ -195,6 +198,8 @@
         metrics.add("input_memory_bytes", lambda: self._input_memory.used_bytes)
         metrics.add("input_memory_bytes_limit", lambda: self._input_memory.limit_bytes)
         metrics.add("unfinished_requests_shed_total", self._unfinished_requests_shed)
+        metrics.add("api_connections", lambda: len(self._api_server.connection_limit))
+        metrics.add("api_connections_evicted_total", lambda: self._api_server.connection_limit.evicted)
         metrics.add("api_body_refusals_total", lambda: self._api_server.request_memory.refusals)
         metrics.add("sessions_unsent_bytes", feeds.total_unsent_bytes)
         metrics.add("process_peak_memory_bytes", peak_memory_bytes)
--- a/leadrudder/data_plane/program.py
+++ b/leadrudder/data_plane/program.py
@@ -55,6 +55,8 @@
 # small requests; and for what has not come in whole yet.
 HELD_MEMORY_FRACTION, REQUEST_MEMORY_FRACTION, SMALL_REQUEST_MEMORY_FRACTION = 0.55, 0.4, 0.1
 INPUT_MEMORY_FRACTION = 0.06  # of clients and the local API
+# Parts of the descriptors that are left for connections: of clients, of the local API.
+CLIENT_CONNECTIONS_FRACTION, API_CONNECTIONS_FRACTION = 0.5, 0.25
 API_MEMORY_FRACTION = 0.02  # for the local API's requests and responses
 MAX_OPEN_REQUESTS = 2000
 FINAL_SWEEP_INTERVAL_S = 0.05  # while the last requests are refused during a shutdown
@@ -147,6 +149,7 @@
             self._memory,
             MemoryBudget(SMALL_REQUEST_MEMORY_FRACTION * memory_bytes, self._memory),
             self._input_memory,
+            int(CLIENT_CONNECTIONS_FRACTION * settings.connection_descriptors),
         )
         self._startup = Startup(self.log_buffer.log_info)
         self._server_api = ServerApi(
@@ -157,6 +160,7 @@
             lambda error: self.log_buffer.log_warning(f"unhandled API error: {error!r}"),
             memory=MemoryBudget(API_MEMORY_FRACTION * memory_bytes),
             input_memory=self._input_memory,
+            max_connections=int(API_CONNECTIONS_FRACTION * settings.connection_descriptors),
         )
         self._session = Session(
             settings.seed_link_addresses,
@@ -219,6 +223,8 @@
         metrics.add("input_memory_bytes", lambda: self._input_memory.used_bytes)
         metrics.add("input_memory_bytes_limit", lambda: self._input_memory.limit_bytes)
         metrics.add("unfinished_requests_shed_total", self._unfinished_requests_shed)
+        metrics.add("client_connections", lambda: len(self._outbound.connection_limit))
+        metrics.add("client_connections_evicted_total", lambda: self._outbound.connection_limit.evicted)
         metrics.add("process_peak_memory_bytes", peak_memory_bytes)
         metrics.add("loop_lag_seconds", self._lag.seconds)
         metrics.add("loop_lag_highest_seconds", lambda: self._lag.highest_s)
