Frames that have not come in whole are counted, and links of a listener limited

What callers saw: 60 links with an unfinished frame of 4 MB each took both programs to 264 MiB of a limit of 114. Cause: each link buffered up to 80 MB, with no bound for the process. Change: unfinished frames hold at most 0.2 of ramMb at a data-plane node, 0.12 at a control-plane node; beyond that the link whose frame began first is aborted. Links on which no frame has come make room for new ones.

--- a/leadrudder/control_plane/program.py
+++ b/leadrudder/control_plane/program.py
@@ -34,6 +34,7 @@
 from leadrudder.storage.store import DbmStore, MemoryStore, Store
 from leadrudder.storage.writer import BatchWriter, ThreadedWriter
 from leadrudder.transport.api_server import ApiRequest, ApiResponse, ApiServer
+from leadrudder.transport.connection_limit import ConnectionLimit
 from leadrudder.transport.input_memory import InputMemory
 from leadrudder.transport.link import Link, dial
 from leadrudder.transport.memory_budget import MemoryBudget
@@ -48,8 +49,9 @@
 # Parts of the memory: for operators' requests and responses, and for updates that sessions have not read.
 API_MEMORY_FRACTION, SESSION_MEMORY_FRACTION = 0.5, 0.2
 INPUT_MEMORY_FRACTION = 0.06  # for requests that have not come in whole yet
-# Parts of the descriptors that are left for connections: of operators and servers.
-API_CONNECTIONS_FRACTION = 0.25
+LINK_MEMORY_FRACTION = 0.12  # for frames that have not come in whole yet
+# Parts of the descriptors that are left for connections: of operators and servers, of nodes.
+API_CONNECTIONS_FRACTION, LINKS_FRACTION = 0.25, 0.6
 HANDOVER_S = 0.6  # for requests in progress when this process hands over the sections it owns
 EXIT_MARGIN_S = 1.5  # before the end of the grace period, by which the process has exited in any case
 
@@ -106,6 +108,8 @@
         memory_bytes = settings.memory_limit_mb * 1e6
         self._api_memory = MemoryBudget(API_MEMORY_FRACTION * memory_bytes)
         self._input_memory = InputMemory(INPUT_MEMORY_FRACTION * memory_bytes)
+        self._link_memory = InputMemory(LINK_MEMORY_FRACTION * memory_bytes, connection_share=1.0)
+        self._link_limit = ConnectionLimit(int(LINKS_FRACTION * settings.connection_descriptors))
         self._max_session_bytes = SESSION_MEMORY_FRACTION * memory_bytes
         self._api_server = ApiServer(
             self._dispatch,
@@ -167,7 +171,7 @@
         host, port = self.address.rsplit(":", 1)
         self._listener = await self._startup.listen(
             lambda: self._loop.create_server(
-                lambda: Link(self),
+                lambda: Link(self, input_memory=self._link_memory, limit=self._link_limit),
                 host,
                 int(port),
                 family=socket.AF_INET,
@@ -197,6 +201,8 @@
         metrics.add("api_memory_bytes_limit", lambda: self._api_memory.limit_bytes)
         metrics.add("input_memory_bytes", lambda: self._input_memory.used_bytes)
         metrics.add("input_memory_bytes_limit", lambda: self._input_memory.limit_bytes)
+        metrics.add("link_memory_bytes", lambda: self._link_memory.used_bytes)
+        metrics.add("unfinished_frames_shed_total", lambda: self._link_memory.shed)
         metrics.add("unfinished_requests_shed_total", self._unfinished_requests_shed)
         metrics.add("api_connections", lambda: len(self._api_server.connection_limit))
         metrics.add("api_connections_evicted_total", lambda: self._api_server.connection_limit.evicted)
@@ -339,7 +345,7 @@
 
     async def _dial_peer(self, address: str) -> None:
         try:
-            await dial(address, lambda: Link(self, peer=address))
+            await dial(address, lambda: Link(self, peer=address, input_memory=self._link_memory))
         finally:
             self._dialing.discard(address)
 
--- a/leadrudder/data_plane/endpoint_discovery.py
+++ b/leadrudder/data_plane/endpoint_discovery.py
@@ -12,6 +12,7 @@
 from leadrudder.membership.zone_relays import ZoneRelays
 from leadrudder.protocol import mesh_pb2 as wire
 from leadrudder.protocol.mesh_pb2 import Frame, Node
+from leadrudder.transport.input_memory import InputMemory
 from leadrudder.transport.link import Link, dial
 
 SILENCE_TIMEOUT_S = 0.9  # a relay that is silent for longer counts as failed
@@ -34,11 +35,13 @@
         session_established: Callable[[], bool],
         on_entries: Callable[[list[str]], None],
         on_sources_changed: Callable[[], None],
+        input_memory: InputMemory | None = None,
     ) -> None:
         self.entries: dict[str, Node] = {}  # the newest entry with servers, by node name
         self._relays = ZoneRelays(name, zone)
         self._subscribe, self._session_established = subscribe, session_established
         self._on_entries, self._on_sources_changed = on_entries, on_sources_changed
+        self._input_memory = input_memory  # for frames that have not come in whole yet
         self._loop = asyncio.get_running_loop()
         self._requested: dict[str, frozenset[str]] = {}  # services subscribed to, by source
         self._links: dict[str, Link] = {}
@@ -110,7 +113,12 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _connect(self, address: str) -> None:
-        link = await dial(address, lambda: Link(self, PING_INTERVAL_S, SILENCE_TIMEOUT_S, peer=address))
+        link = await dial(
+            address,
+            lambda: Link(
+                self, PING_INTERVAL_S, SILENCE_TIMEOUT_S, peer=address, input_memory=self._input_memory
+            ),
+        )
         self._connecting.discard(address)
         if link is None or not link.up:
             self._relays.mark_unreachable(address, self._loop.time())
--- a/leadrudder/data_plane/mesh_state.py
+++ b/leadrudder/data_plane/mesh_state.py
@@ -28,6 +28,7 @@
 from leadrudder.observability.metrics import Metrics
 from leadrudder.protocol import mesh_pb2 as wire
 from leadrudder.protocol.mesh_pb2 import Item, Node
+from leadrudder.transport.input_memory import InputMemory
 
 
 class MeshState:
@@ -53,6 +54,7 @@
         wall: Callable[[], float],
         monotonic: Callable[[], float],
         machine_drains_enabled: bool,
+        link_memory: InputMemory | None = None,
     ) -> None:
         self.item_store = ItemStore()
         self.routing = RoutingTable()
@@ -67,6 +69,7 @@
             session_established,
             self._on_node_entries,
             self._on_sources_changed,
+            link_memory,
         )
         loop = asyncio.get_running_loop()
         self.machine_drains = MachineDrains(wall, loop.time, loop.call_later, self._on_machine_drain_ended)
--- a/leadrudder/data_plane/peer_links.py
+++ b/leadrudder/data_plane/peer_links.py
@@ -17,6 +17,7 @@
 )
 from leadrudder.protocol.outcome import Executed
 from leadrudder.transport.body_stream import BodyReceiver, BodySender
+from leadrudder.transport.input_memory import InputMemory
 from leadrudder.transport.large_body import LargeBody
 from leadrudder.transport.link import IDLE_DIALER_PING_INTERVAL_S, Link, dial
 from leadrudder.transport.memory_budget import MemoryBudget
@@ -59,9 +60,9 @@
 class PeerLink:
     """The link to one node, dialled on demand.  memory: for large bodies of responses."""
 
-    def __init__(self, address: str, memory: MemoryBudget) -> None:
+    def __init__(self, address: str, memory: MemoryBudget, input_memory: InputMemory | None = None) -> None:
         self.address = address
-        self._memory = memory
+        self._memory, self._input_memory = memory, input_memory
         self._parts_accepted = False  # by the peer of the present link
         self._parts_timer: asyncio.TimerHandle | None = None
         self.last_used = 0.0
@@ -140,7 +141,14 @@
 
     async def _dial(self) -> None:
         link = await dial(
-            self.address, lambda: Link(self, PING_INTERVAL_S, SILENCE_TIMEOUT_S, peer=self.address)
+            self.address,
+            lambda: Link(
+                self,
+                PING_INTERVAL_S,
+                SILENCE_TIMEOUT_S,
+                peer=self.address,
+                input_memory=self._input_memory,
+            ),
         )
         self._dial_task = None
         if link is None or not link.up:
@@ -255,10 +263,13 @@
 
 
 class PeerLinks:
-    """The links to all other nodes, by address.  memory: for large bodies of responses."""
+    """The links to all other nodes, by address.
 
-    def __init__(self, memory: MemoryBudget | None = None) -> None:
-        self._memory = memory or MemoryBudget()
+    memory: for large bodies of responses; input_memory: for frames that have not come in whole yet.
+    """
+
+    def __init__(self, memory: MemoryBudget | None = None, input_memory: InputMemory | None = None) -> None:
+        self._memory, self._input_memory = memory or MemoryBudget(), input_memory
         self._links: dict[str, PeerLink] = {}
         self._stops_at: float | None = None
         self._loop = asyncio.get_running_loop()
@@ -272,7 +283,7 @@
     ) -> Withdraw:
         peer_link = self._links.get(address)
         if peer_link is None:
-            peer_link = self._links[address] = PeerLink(address, self._memory)
+            peer_link = self._links[address] = PeerLink(address, self._memory, self._input_memory)
             if self._stops_at is not None:
                 peer_link.announce_stop(self._stops_at)
         return peer_link.send(forward_request, deliver, body)
--- a/leadrudder/data_plane/program.py
+++ b/leadrudder/data_plane/program.py
@@ -43,6 +43,7 @@
 from leadrudder.protocol.outcome import Executed
 from leadrudder.transport.api_server import ApiRequest, ApiResponse, ApiServer
 from leadrudder.transport.body_stream import BodyReceiver, BodySender
+from leadrudder.transport.connection_limit import ConnectionLimit
 from leadrudder.transport.input_memory import InputMemory
 from leadrudder.transport.large_body import LargeBody
 from leadrudder.transport.link import Link
@@ -55,8 +56,9 @@
 # small requests; and for what has not come in whole yet.
 HELD_MEMORY_FRACTION, REQUEST_MEMORY_FRACTION, SMALL_REQUEST_MEMORY_FRACTION = 0.55, 0.4, 0.1
 INPUT_MEMORY_FRACTION = 0.06  # of clients and the local API
-# Parts of the descriptors that are left for connections: of clients, of the local API.
-CLIENT_CONNECTIONS_FRACTION, API_CONNECTIONS_FRACTION = 0.5, 0.25
+LINK_MEMORY_FRACTION = 0.2  # of links to other nodes
+# Parts of the descriptors that are left for connections: of clients, of the local API, of other nodes.
+CLIENT_CONNECTIONS_FRACTION, API_CONNECTIONS_FRACTION, LINKS_FRACTION = 0.5, 0.25, 0.25
 API_MEMORY_FRACTION = 0.02  # for the local API's requests and responses
 MAX_OPEN_REQUESTS = 2000
 FINAL_SWEEP_INTERVAL_S = 0.05  # while the last requests are refused during a shutdown
@@ -86,6 +88,8 @@
         self._report_number = 0
         self._lag = LoopLag(platform.monotonic)
         memory_bytes = settings.memory_limit_mb * 1e6
+        self._link_memory = InputMemory(LINK_MEMORY_FRACTION * memory_bytes, connection_share=1.0)
+        self._link_limit = ConnectionLimit(int(LINKS_FRACTION * settings.connection_descriptors))
         self.admission = AdmissionController(settings.bounds)
         self.state = MeshState(
             settings,
@@ -100,6 +104,7 @@
             wall=wall,
             monotonic=platform.monotonic,
             machine_drains_enabled=maintenance_windows,
+            link_memory=self._link_memory,
         )
         self._shutdown: ShutdownSchedule | None = None  # set by SIGTERM
         self._done = asyncio.Event()
@@ -137,7 +142,7 @@
         )
         self._incoming_calls = IncomingCalls(self._inbound, self.state.discovery, self._lag)
         self._peak_slots_used = 0  # highest number of slots of the local server in use since the last report
-        self._peer_links = PeerLinks(self._memory)
+        self._peer_links = PeerLinks(self._memory, self._link_memory)
         self._outbound = OutboundProxy(
             settings.service,
             self.state.routing.find,
@@ -169,6 +174,7 @@
             self.state.discovery.on_session_ended,
             self._rng,
             self.log_buffer.record,
+            self._link_memory,
         )
 
     async def start(self) -> None:
@@ -180,7 +186,12 @@
         host, port = self._address.rsplit(":", 1)
         self._listener = await self._startup.listen(
             lambda: self._loop.create_server(
-                lambda: Link(self._incoming_calls, silence_timeout_s=30.0),
+                lambda: Link(
+                    self._incoming_calls,
+                    silence_timeout_s=30.0,
+                    input_memory=self._link_memory,
+                    limit=self._link_limit,
+                ),
                 host,
                 int(port),
                 family=socket.AF_INET,
@@ -222,6 +233,8 @@
         metrics.add("body_refusals_total", lambda: self._request_memory.refusals)
         metrics.add("input_memory_bytes", lambda: self._input_memory.used_bytes)
         metrics.add("input_memory_bytes_limit", lambda: self._input_memory.limit_bytes)
+        metrics.add("link_memory_bytes", lambda: self._link_memory.used_bytes)
+        metrics.add("unfinished_frames_shed_total", lambda: self._link_memory.shed)
         metrics.add("unfinished_requests_shed_total", self._unfinished_requests_shed)
         metrics.add("client_connections", lambda: len(self._outbound.connection_limit))
         metrics.add("client_connections_evicted_total", lambda: self._outbound.connection_limit.evicted)
--- a/leadrudder/data_plane/session.py
+++ b/leadrudder/data_plane/session.py
@@ -8,6 +8,7 @@
 
 from leadrudder.protocol import mesh_pb2 as wire
 from leadrudder.protocol.mesh_pb2 import Frame
+from leadrudder.transport.input_memory import InputMemory
 from leadrudder.transport.link import Link, dial
 
 RETRY_PAUSE_S = 0.1  # before the next control-plane node is tried; randomised to avoid a thundering herd
@@ -25,8 +26,10 @@
         on_ended: Callable[[], None],
         rng: Random,
         note: Callable[[str], None],
+        input_memory: InputMemory | None = None,
     ) -> None:
         self.seeds = seeds
+        self._input_memory = input_memory  # for frames that have not come in whole yet
         self.synced = False  # a complete state has been received in some session
         self.sync_count = 0  # sessions that have received it
         self._hello, self._on_state_update, self._rng, self._note = hello, on_state_update, rng, note
@@ -52,7 +55,10 @@
                 addresses = list(dict.fromkeys([*self._zone_control_nodes, *addresses]))
             for address in addresses:
                 self._link_ended.clear()
-                link = await dial(address, lambda a=address: Link(self, peer=a))  # type: ignore[misc]
+                link = await dial(
+                    address,
+                    lambda a=address: Link(self, peer=a, input_memory=self._input_memory),  # type: ignore[misc]
+                )
                 if link is not None and link.up:
                     syncs_before = self.sync_count
                     await self._link_ended.wait()
--- a/leadrudder/transport/link.py
+++ b/leadrudder/transport/link.py
@@ -16,6 +16,8 @@
 
 from leadrudder.node.dialling import open_connection, share_local_port
 from leadrudder.protocol.mesh_pb2 import Frame
+from leadrudder.transport.connection_limit import ConnectionLimit
+from leadrudder.transport.input_memory import InputMemory
 
 MAX_FRAME_BYTES = 80 * 1024 * 1024  # a larger length is malformed
 MAX_UNSENT_BYTES = MAX_FRAME_BYTES + 16 * 1024 * 1024  # a link with more unread by the peer is aborted
@@ -55,6 +57,7 @@
 
     check_interval_s: interval of liveness checks, and of pings unless changed.
     silence_timeout_s: the link is aborted after so long without a frame.
+    input_memory: for frames that have not come in whole yet; limit: of a listener, on its accepted links.
     """
 
     def __init__(
@@ -63,12 +66,16 @@
         check_interval_s: float = PING_INTERVAL_S,
         silence_timeout_s: float = 1.0,
         peer: str = "",
+        input_memory: InputMemory | None = None,
+        limit: ConnectionLimit | None = None,
     ) -> None:
         self.peer = peer  # the dialed address, or the one that the peer reports
         self.up = False
         self.checks_liveness = True  # whether the link is aborted when the peer is silent
         self.ping_interval_s = check_interval_s  # long while the peer does not check liveness
         self._handler = handler
+        self._input_memory, self._limit = input_memory or InputMemory(), limit
+        self._has_frame = False  # a complete frame has come
         self._check_interval_s, self._silence_timeout_s = check_interval_s, silence_timeout_s
         self._transport: asyncio.Transport | None = None
         self._loop = asyncio.get_running_loop()
@@ -94,6 +101,8 @@
         self._last_received_at = self._loop.time()
         self._handler.on_up(self)
         self._check_liveness()
+        if self._limit is not None and self.up:
+            self._limit.opened(self)
 
     def data_received(self, data: bytes) -> None:
         self._last_received_at = self._loop.time()
@@ -115,9 +124,27 @@
                 self.abort()
                 return
             offset += length
+            self._count_frame()
             if frame.WhichOneof("body") != "ping":
                 self._handler.on_frame(self, frame)
         del buffer[:offset]
+        self._input_memory.hold(self, len(buffer))
+
+    def _count_frame(self) -> None:
+        if not self._has_frame:
+            self._has_frame = True
+            if self._limit is not None:
+                self._limit.message_came(self)
+
+    def shed_input(self) -> None:
+        self.abort()
+
+    def is_idle(self) -> bool:
+        """A link on which a frame has come is not closed for another."""
+        return False
+
+    def force_close(self) -> None:
+        self.abort()
 
     def eof_received(self) -> bool:
         return False
@@ -187,6 +214,9 @@
         if self.up:
             self.up = False
             self._buffer.clear()
+            self._input_memory.hold(self, 0)
+            if self._limit is not None:
+                self._limit.closed(self)
             self._handler.on_down(self)
 
     def _check_liveness(self) -> None:
