MessagePack-RPC: the ends of an array's elements take four bytes each

Read, and measured without the network: while a call was received, each element of its parameters took a slot and an int, 40 bytes for one; 128 connections of 64 KiB took some 330 MB (by reckoning). An array of numbers holds them now. The new test fails on the code before (2.5 MB held for 60 kB; now under ten times the bytes).

--- a/leadrudder/rpc/framing.py
+++ b/leadrudder/rpc/framing.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from array import array
 from dataclasses import dataclass
 from typing import Any
 
@@ -128,7 +129,7 @@
         self._body_left = 0  # body bytes of the current value not yet scanned
         self.start = self.position = start
         self.is_array = False
-        self.item_ends: list[int] = []
+        self.item_ends = array("I")  # a value may hold an element for each of its bytes
 
     def scan(self, buffer: bytearray, message_start: int) -> bool:
         """Continue the scan; True once the value is complete, FramingError as soon as it is unacceptable."""
--- a/tests/rpc/test_framing.py
+++ b/tests/rpc/test_framing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from typing import Any
 
 import msgpack
@@ -235,3 +236,16 @@
     except ValueError:
         return
     assert msgpack.unpackb(raw, raw=True, strict_map_key=False, object_pairs_hook=list) is not unpack
+
+
+def test_an_unfinished_array_takes_memory_in_proportion_to_its_bytes() -> None:
+    message_reader = reader()
+    data = b"\x94\x00\x01\xa1m\xdc\xff\x00" + b"\x01" * 60_000
+    tracemalloc.start()
+    try:
+        message_reader.feed(data)
+        held = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    assert message_reader.held() == len(data)
+    assert held < 10 * len(data)
