Single node: requests that have not come in whole are counted, and bounded

Cause, by reading: the single node had the mesh's fault, each header line and chunk an object, and nothing counted what was received; bodies of open requests alone had a limit.

--- a/leadrudder/node/callers.py
+++ b/leadrudder/node/callers.py
@@ -35,6 +35,7 @@
 )
 from leadrudder.node.platform import SYSTEM, Platform
 from leadrudder.node.routes import Route, match_class
+from leadrudder.transport.input_memory import InputMemory
 
 log = logging.getLogger(__name__)
 
@@ -57,6 +58,7 @@
 LINGER_S = 0.5  # time to read an early response: closing with unread input resets the connection at once
 MAX_DISCARDED_BYTES = 256 * 1024
 OVERLOAD_RETRY_AFTER_S = 0.5
+_OVERLOAD_HEADERS = b"Retry-After: %.3f\r\n" % OVERLOAD_RETRY_AFTER_S
 OVERFLOW_FRACTION = 0.1  # of the limit: extra connections that get a 503 when none can be evicted
 
 # float() accepts far more than the protocol does.
@@ -190,8 +192,12 @@
         except Exception:
             log.exception("unexpected error while reading a request")
             self._reject(500)
+        self.listener.input_memory.hold(self, 0 if self._input_closed else self._reader.held_bytes)
         self._update_reading()
 
+    def shed_input(self) -> None:
+        self._reject(503, _OVERLOAD_HEADERS)
+
     def _on_request(self, message: HttpMessage) -> None:
         exchange = HttpExchange(self, not message.keep_alive)
         self._exchanges.append(exchange)
@@ -208,15 +214,16 @@
             log.exception("unexpected error while handling a request")
             exchange.send(500)
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, extra: bytes = b"") -> None:
         """Answer invalid input at once, ahead of anything pending on this connection, then close."""
         self._stop_reading()
+        self.listener.input_memory.hold(self, 0)
         if self._response_ended:
             return
         self._abandon_exchanges()
         exchange = HttpExchange(self, True)
         self._exchanges.append(exchange)
-        exchange.send(status)
+        exchange.send(status, extra=extra)
 
     def flush(self) -> None:
         """Send responses in order, up to the first that is not ready yet."""
@@ -274,6 +281,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
+        self.listener.input_memory.hold(self, 0)
         self.listener.closed(self)
         self._abandon_exchanges()
 
@@ -339,6 +347,7 @@
         self._max_connections = max_connections
         self._max_body_bytes = max_body_bytes
         self._body_bytes = 0
+        self.input_memory = InputMemory(max_body_bytes)  # requests that are being received
         self._loop = asyncio.get_running_loop()
         self._connections: dict[ClientConnection, None] = {}  # an ordered set, for repeatable runs
         self._server: asyncio.Server | None = None
@@ -439,7 +448,7 @@
         client_request = self._to_client_request(message, path)
         if self.over_limit() or self._body_bytes + len(message.body) > self._max_body_bytes:
             exchange.close = True
-            exchange.send(503, extra=b"Retry-After: %.3f\r\n" % OVERLOAD_RETRY_AFTER_S)
+            exchange.send(503, extra=_OVERLOAD_HEADERS)
             return True
         exchange.body_bytes = len(message.body)
         self._body_bytes += exchange.body_bytes
