Operators' bodies that do not come make room, and tests of the limits on input

Cause: the body of an operator's request counted against the budget of all directly, so that its own limit and the budget of all could not be told apart, and nothing was given up for another. Change: each API connection has a share of the budget, as clients have. Tests without processes: memory of unfinished messages and its shares, bodies without progress, connections, turns.

--- a/leadrudder/transport/api_server.py
+++ b/leadrudder/transport/api_server.py
@@ -81,7 +81,7 @@
             self._on_message,
             requests=True,
             max_body_bytes=server.max_body_bytes,
-            budget=server.request_memory,
+            budget=MemoryBudget(server.max_body_bytes, server.request_memory),
             bodies=server.received_bodies,
             owner=self,
         )
--- a/leadrudder/transport/input_memory.py
+++ b/leadrudder/transport/input_memory.py
@@ -65,6 +65,7 @@
 class ReceivedBodies:
     """The large bodies that are being received.  now: the time in seconds.
 
+    The budget of each body is the share of its connection in the one of all.
     Memory is reserved as a body arrives. Where there is none left, the body whose sender has made no progress
     for longest is given up, if that is STALLED_AFTER_S or more.
     """
