--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -33,6 +33,7 @@
 )
 from bench.soak.machine import InvariantError
 from bench.soak.memory import MemoryWatch
+from bench.soak.misbehaving import MisbehavingClients
 from bench.soak.operators import Operators
 from bench.soak.restarts import Restarts
 from bench.soak.rivals import RivalOperators
@@ -69,6 +70,7 @@
     bulk: int = 0
     bulk_served: int = 0
     bulk_refused: int = 0
+    crowds: int = 0
     shed: int = 0
     checks: int = 0
     ack_max_s: float = 0.0
@@ -92,6 +94,7 @@
     rivals = RivalOperators(world, Random(f"rivals/{seed}"))
     bursts = BurstClients(world.base_port + 2, Random(f"bursts/{seed}"))
     bulk = BulkClients(world.base_port + 2, LONG_REQUESTS, Random(f"bulk/{seed}"))
+    misbehaving = MisbehavingClients(world, Random(f"misbehaving/{seed}"))
     memory = MemoryWatch(world)
     restarts = Restarts(world, Random(f"restarts/{seed}"), TERMINATION_TIMEOUT_S)
     injector = FaultInjector(world, operators, rivals, bursts, restarts)
@@ -115,9 +118,10 @@
         bulk_tasks = [
             asyncio.ensure_future(bulk.send_until(machine.host, end)) for machine in world.node_machines
         ]
+        crowds_task = asyncio.ensure_future(misbehaving.play_until(end))
         evacuation_task = asyncio.ensure_future(evacuations.run_until(end))
         injected = await injector.run(faults)
-        await asyncio.gather(*change_tasks, *read_tasks, evacuation_task)
+        await asyncio.gather(*change_tasks, *read_tasks, evacuation_task, crowds_task)
         await asyncio.sleep(RECOVERY_TIME_S)
         await bursts.wait_for_answers()
         await asyncio.gather(*bulk_tasks)
@@ -160,6 +164,7 @@
         len(bulk.sent),
         sum(each.answer.status == 200 for each in bulk.sent),
         sum(each.answer.status == 503 for each in bulk.sent),
+        misbehaving.crowds,
         totals.shed,
         totals.checks,
         operators.slowest_ack_s,
