--- a/bench/bulk.py
+++ b/bench/bulk.py
@@ -62,7 +62,9 @@
         writer.close()
 
     async def _exchange(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        head = await reader.readuntil(b"\r\n\r\n")
+        await self._answer(reader, writer, await reader.readuntil(b"\r\n\r\n"))
+
+    async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes) -> None:
         headers = parse_headers(head)
         size = int(headers.get(b"content-length", b"0"))
         self.open += 1
--- a/bench/misbehaving.py
+++ b/bench/misbehaving.py
@@ -11,7 +11,11 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
+from bench.bulk import BulkServer, parse_headers
+
 HEAD_BYTES = 16_000  # of a head that does not end, under the limit of 16,384
+ANSWER_HEAD_BYTES = 64_000  # of a server, under the limit of 65,536
+ODD_PATH = "/haku/odd"
 PIECE_BYTES = 64 * 1024
 RECONNECT_DELAY_S = 0.05
 _REQUEST_LINE = b"POST /haku/crowd HTTP/1.1\r\nHost: demo.example\r\nAttempt-Id: %s\r\n"
@@ -125,6 +129,25 @@
     return payload
 
 
+class EndlessAnswerServer(BulkServer):
+    """A server whose answers to requests of ODD_PATH have heads or chunks that do not end."""
+
+    async def _exchange(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        path = head.split(b" ", 2)[1].decode()
+        if not path.startswith(ODD_PATH):
+            await self._answer(reader, writer, head)
+            return
+        attempt_id = parse_headers(head).get(b"attempt-id", b"")
+        writer.write(b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n" % attempt_id)
+        if path.endswith("chunks"):
+            writer.write(b"Transfer-Encoding: chunked\r\n\r\n" + b"2\r\nxx\r\n" * 8_000)
+        else:
+            writer.write(b"a:\r\n" * (ANSWER_HEAD_BYTES // 4))
+        await writer.drain()
+        await reader.read()
+
+
 # ---------------------------------------------------------------- crowds
 
 
--- a/tests/mesh/test_misbehaving_clients.py
+++ b/tests/mesh/test_misbehaving_clients.py
@@ -12,9 +12,11 @@
 import unittest
 from pathlib import Path
 
-from bench.bulk import BulkRequest
+from bench.bulk import BulkRequest, BulkServer
 from bench.misbehaving import (
+    ODD_PATH,
     Crowd,
+    EndlessAnswerServer,
     Payload,
     blank_values,
     chunked_body,
@@ -36,6 +38,7 @@
 FEW_OPEN_FILES = 600
 RESERVED_FILES = 200  # by the users' pages, of a process's descriptors
 CROWD = 400
+ODD_ANSWERS, ODD_TIME_LEFT_MS = 60, 3_000  # fewer than the server has slots
 REFUSALS_ALLOWED = 10  # of an ordinary request that is sent again after each
 RETRY_PAUSE_S = 0.2
 QUIET_CPU_TICKS, QUIET_INTERVAL_S, QUIET_CHECKS = 3, 0.25, 120
@@ -54,11 +57,12 @@
 class MisbehavingPeers(unittest.IsolatedAsyncioTestCase):
     """Three control-plane and three data-plane nodes; the server is beside the last of these."""
 
-    async def start_fleet(self, open_files: int = OPEN_FILES) -> None:
+    async def start_fleet(self, open_files: int = OPEN_FILES, server: BulkServer | None = None) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.open_files = open_files
         self.fleet = BulkFleet(Path(folder.name), memory_limit_mb=MEMORY_LIMIT_MB, open_files=open_files)
+        self.fleet.server = server or self.fleet.server
         self.addAsyncCleanup(self.fleet.end)
         await self.fleet.start_serving()
 
@@ -188,6 +192,20 @@
         await self.start_fleet()
         await self.play(self.fleet.data_plane_ips[0], self.fleet.base_port + 3, short_names)
 
+    async def test_answers_of_a_server_that_do_not_end(self) -> None:
+        await self.start_fleet(server=EndlessAnswerServer("odd"))
+        for kind in ("heads", "chunks"):
+            odd = [
+                BulkRequest(f"{kind}-{i}", path=f"{ODD_PATH}/{kind}", time_left_ms=ODD_TIME_LEFT_MS)
+                for i in range(ODD_ANSWERS)
+            ]
+            sending = [asyncio.ensure_future(self.fleet.send(self.fleet.server_ip, each)) for each in odd]
+            await asyncio.sleep(RETRY_PAUSE_S)
+            await self.assert_an_ordinary_request_is_answered()
+            await asyncio.gather(*sending)
+        self.assert_within_limits()
+        self.assertEqual(set(await self.fleet.end()), {0}, "codes at the end")
+
     # ------------------------------------------------------------ links
 
     async def test_frames_that_do_not_end_at_a_data_plane_node(self) -> None:
