--- a/leadrudder/transport/paced_input.py
+++ b/leadrudder/transport/paced_input.py
@@ -46,9 +46,11 @@
 
     def _serve(self) -> None:
         self._is_scheduled = False
-        for _ in range(min(len(self._waiting), CONNECTIONS_PER_TURN)):
-            self._waiting.popleft().take_turn()
-        self._schedule()
+        try:
+            for _ in range(min(len(self._waiting), CONNECTIONS_PER_TURN)):
+                self._waiting.popleft().take_turn()
+        finally:  # an error of one connection must not hold up the others
+            self._schedule()
 
 
 class PacedInput:
