--- a/review/small_mesh/record.py
+++ b/review/small_mesh/record.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import sys
 import threading
 import time
@@ -29,8 +28,3 @@
         self.note(f"{('held', 'BROKEN', 'could not run')[code]}: {text}")
         print(f"{('held', 'BROKEN', 'could not run')[code]}: {text}", file=sys.stderr)
         return code
-
-
-def with_trouble() -> bool:
-    """Whether the disruption takes place: TROUBLE=0 leaves it out."""
-    return os.environ.get("TROUBLE", "1") != "0"
